--- /dev/null
+++ b/crates/endivectl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/endivevale/src/main.rs
@@ -0,0 +1,74 @@
+//! `endivevale`, one instance of the query tier.
+//!
+//! It reads its settings, prints where it listens as one line of JSON and
+//! runs until it is told to leave. Exit code 0 is a planned stop, 1 a failed
+//! start, 2 faulty settings or arguments.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+use endivevale::{Instance, logs, settings::Settings};
+
+/// The exit code of a failed start.
+const EXIT_FAILED: u8 = 1;
+
+/// The exit code of faulty settings.
+const EXIT_FAULTY: u8 = 2;
+
+/// One instance of the endivevale query tier
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Args {
+    /// The settings file, in YAML
+    #[bpaf(long, short, argument("FILE"))]
+    settings: PathBuf,
+
+    /// Only check the settings
+    #[bpaf(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = args().run();
+    let settings = match read_settings(&args.settings) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(EXIT_FAULTY);
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    if let Err(e) = logs::set_up(settings.log) {
+        eprintln!("log: {e}");
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("the runtime did not start: {e}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    runtime.block_on(run(settings))
+}
+
+fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
+    Settings::parse(&file, &text).map_err(|e| e.to_string())
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    match Instance::start(settings).await {
+        Ok(instance) => {
+            println!("{}", instance.addresses().to_json());
+            instance.stopped().await;
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
