--- a/crates/core/src/engine/leg.rs
+++ b/crates/core/src/engine/leg.rs
@@ -55,18 +55,18 @@
 }
 
 /// What the legs of one query share.
-pub(super) struct Context<'a, T> {
-    pub(super) transport: &'a Arc<T>,
-    pub(super) router: &'a Router,
-    pub(super) service: &'a Arc<ServiceView>,
-    pub(super) req: &'a Arc<Request>,
+pub(super) struct Context<T> {
+    pub(super) transport: Arc<T>,
+    pub(super) router: Router,
+    pub(super) service: Arc<ServiceView>,
+    pub(super) req: Arc<Request>,
     pub(super) version: IndexVersion,
     pub(super) by: Instant,
     pub(super) objective: Objective,
-    pub(super) numbers: &'a AttemptNumbers,
+    pub(super) numbers: Arc<AttemptNumbers>,
 }
 
-impl<T> Context<'_, T> {
+impl<T> Context<T> {
     fn fresh_attempt(&self) -> Attempt<Unsent> {
         Attempt::new(AttemptId::new(self.req.id, self.numbers.next()))
     }
@@ -79,17 +79,22 @@
     Lost,
 }
 
-/// Asks one shard.
-pub(super) async fn ask<T: Transport>(
-    cx: &Context<'_, T>,
-    shard: ShardId,
-) -> (ShardId, Result<Part, Miss>) {
+/// What one shard came to.
+pub(super) type Taken = (ShardId, Result<Part, Miss>);
+
+/// Asks several shards at once.
+pub(super) async fn ask_all<T: Transport>(cx: Arc<Context<T>>, shards: Vec<ShardId>) -> Vec<Taken> {
+    let legs: FuturesUnordered<_> = shards.iter().map(|shard| ask(&cx, *shard)).collect();
+    legs.collect().await
+}
+
+async fn ask<T: Transport>(cx: &Context<T>, shard: ShardId) -> Taken {
     let leg = Leg { cx, shard, tried: Vec::new(), refusal: None, is_lost: false };
     (shard, leg.run().await)
 }
 
 struct Leg<'a, T> {
-    cx: &'a Context<'a, T>,
+    cx: &'a Context<T>,
     shard: ShardId,
     /// The searchers asked so far, in order.
     tried: Vec<Arc<Searcher>>,
@@ -205,7 +210,7 @@
 
 /// Makes one attempt: a place behind the gate, a connection, one exchange.
 async fn attempt<T: Transport>(
-    cx: &Context<'_, T>,
+    cx: &Context<T>,
     shard: ShardId,
     searcher: Arc<Searcher>,
     permit: Option<Permit>,
@@ -230,7 +235,7 @@
 }
 
 async fn exchange<T: Transport>(
-    cx: &Context<'_, T>,
+    cx: &Context<T>,
     shard: ShardId,
     searcher: &Arc<Searcher>,
     unsent: Attempt<Unsent>,
@@ -292,14 +297,14 @@
     }
 }
 
-fn record_part<T>(cx: &Context<'_, T>, searcher: &Searcher, began: Instant) {
+fn record_part<T>(cx: &Context<T>, searcher: &Searcher, began: Instant) {
     let latency = began.elapsed();
     searcher.stats().parts.inc();
     searcher.record_latency(latency);
     cx.service.state().hedge_delay.record(latency);
 }
 
-fn record_loss<T>(cx: &Context<'_, T>, searcher: &Searcher, why: LostReason) {
+fn record_loss<T>(cx: &Context<T>, searcher: &Searcher, why: LostReason) {
     searcher.stats().failed.inc();
     if why == LostReason::Crossed {
         cx.service.state().legs.crossed.inc();
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -10,7 +10,7 @@
 //!
 //! ```
 //! use endivevale_core::{
-//!     answer::Answer,
+//!     answer::{Answer, MissReason},
 //!     engine::{BoxFuture, QueryService},
 //!     error::{ErrorKind, Failure},
 //!     query::Submission,
@@ -27,17 +27,16 @@
 
 use std::{future::Future, pin::Pin as Boxed, sync::Arc};
 
-use futures::stream::{FuturesUnordered, StreamExt};
-use tokio::time::Instant;
+use tokio::{task::JoinSet, time::Instant};
 
 use crate::{
-    answer::Answer,
+    answer::{Answer, MissReason},
     claim::{Claim, ClaimKey, ClaimStore, Held},
     error::{ErrorKind, Failure, Run},
     intent::{Objective, Rank},
     name::{ServiceName, ZoneName},
     pin::{self, Pin},
-    query::{Admitted, Dispatched, Ended, Query, Request, Submission},
+    query::{Admitted, Dispatched, Ended, Miss, Query, Request, Submission},
     routing::Router,
     stats::RankStats,
     view::{ServiceView, View, ViewCell},
@@ -51,6 +50,10 @@
 /// The most times that a query is pinned anew after its version was gone.
 const MAX_REPINS: usize = 2;
 
+/// The legs that one task sends, so that a wide query leaves on several
+/// threads at once.
+const LEGS_PER_TASK: usize = 8;
+
 /// A boxed future, for interfaces that are used as trait objects.
 pub type BoxFuture<'a, T> = Boxed<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -141,7 +144,7 @@
         claim: Option<Claim<Held>>,
         objective: Objective,
     ) -> Result<Answer, Failure> {
-        let numbers = leg::AttemptNumbers::default();
+        let numbers = Arc::new(leg::AttemptNumbers::default());
         for _ in 0..=MAX_REPINS {
             self.ask_shards(&mut query, &pin, &numbers, objective).await;
             match next_pin(&query, &pin) {
@@ -167,27 +170,36 @@
         &self,
         query: &mut Query<Dispatched>,
         pin: &Pin,
-        numbers: &leg::AttemptNumbers,
+        numbers: &Arc<leg::AttemptNumbers>,
         objective: Objective,
     ) {
         let req = Arc::clone(query.req());
         let service = Arc::clone(query.service());
-        let by = req.part_deadline(Instant::now());
         service.state().legs.needed.add(pin.shards().len() as u64);
-        let cx = leg::Context {
-            transport: &self.transport,
-            router: &self.router,
-            service: &service,
-            req: &req,
+        let cx = Arc::new(leg::Context {
+            by: req.part_deadline(Instant::now()),
+            transport: Arc::clone(&self.transport),
+            router: self.router.clone(),
+            service,
+            req,
             version: pin.version(),
-            by,
             objective,
-            numbers,
-        };
-        let mut legs: FuturesUnordered<_> =
-            pin.shards().iter().map(|shard| leg::ask(&cx, *shard)).collect();
-        while let Some((shard, result)) = legs.next().await {
-            query.take(shard, result);
+            numbers: Arc::clone(numbers),
+        });
+        let mut tasks = JoinSet::new();
+        for shards in pin.shards().chunks(LEGS_PER_TASK) {
+            tasks.spawn(leg::ask_all(Arc::clone(&cx), shards.to_vec()));
+        }
+        while let Some(ended) = tasks.join_next().await {
+            // The shards of a task that failed are found missing below.
+            for (shard, result) in ended.unwrap_or_default() {
+                query.take(shard, result);
+            }
+        }
+        for shard in pin.shards() {
+            if !query.has_taken(*shard) {
+                query.take(*shard, Err(Miss::Unknown(MissReason::Failed)));
+            }
         }
     }
 }
--- a/crates/core/src/query.rs
+++ b/crates/core/src/query.rs
@@ -320,6 +320,12 @@
         }
     }
 
+    /// Whether a shard has come to a part or a reason.
+    #[must_use]
+    pub fn has_taken(&self, shard: ShardId) -> bool {
+        self.merge.as_ref().is_some_and(|m| m.knows(shard))
+    }
+
     /// Whether a shard is missing because its replicas dropped the pinned
     /// version, and beginning anew cannot run anything twice that must not
     /// be repeated.
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -36,6 +36,9 @@
 /// The significant digits of recorded latencies.
 const DIGITS: u8 = 3;
 
+/// The longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 120_000_000;
+
 /// How long a load client waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -104,7 +107,7 @@
 
 impl Default for Report {
     fn default() -> Self {
-        let new = || Histogram::new(DIGITS).expect("three digits are allowed");
+        let new = || Histogram::new_with_max(LONGEST_US, DIGITS).expect("three digits are allowed");
         Self { answers: new(), refusals: new(), whole: 0, partial: 0, refused: 0, unknown: 0 }
     }
 }
@@ -167,19 +170,28 @@
 
 /// Sends one query document and waits for the answer.
 pub async fn ask(client: &Client, target: SocketAddr, document: &Value) -> (Option<u16>, Value) {
+    let (status, body) = ask_raw(client, target, document).await;
+    (status, parse(&body))
+}
+
+async fn ask_raw(
+    client: &Client,
+    target: SocketAddr,
+    document: &Value,
+) -> (Option<u16>, bytes::Bytes) {
     let sent = client.post(format!("http://{target}/v1/query")).json(document).send().await;
-    match sent {
-        Ok(res) => {
-            let status = res.status().as_u16();
-            match res.json().await {
-                Ok(json) => (Some(status), json),
-                Err(_) => (None, Value::Null),
-            }
-        }
-        Err(_) => (None, Value::Null),
+    let Ok(res) = sent else { return (None, bytes::Bytes::new()) };
+    let status = res.status().as_u16();
+    match res.bytes().await {
+        Ok(body) => (Some(status), body),
+        Err(_) => (None, bytes::Bytes::new()),
     }
 }
 
+fn parse(body: &[u8]) -> Value {
+    serde_json::from_slice(body).unwrap_or_default()
+}
+
 /// Runs the load to its end and counts what came.
 pub async fn run(load: Load) -> Report {
     let mut report = Report::default();
@@ -200,8 +212,9 @@
                     let document = (load.document)(number);
                     let client = client.clone();
                     running.spawn(async move {
-                        let (status, json) = ask(&client, target, &document).await;
-                        Ended { number, latency: intended.elapsed(), status, json }
+                        let (status, body) = ask_raw(&client, target, &document).await;
+                        let latency = intended.elapsed();
+                        Ended { number, latency, status, json: parse(&body) }
                     });
                 }
                 None => break,
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -33,7 +33,7 @@
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+    header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
@@ -371,7 +371,7 @@
     res
 }
 
-fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+fn put(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(name, value);
     }
@@ -384,7 +384,7 @@
     Reply::Whole(res)
 }
 
-fn read<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+fn read<T: std::str::FromStr>(headers: &HeaderMap, name: HeaderName) -> Option<T> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
