--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -220,14 +220,13 @@
 }
 
 fn choose_pin(query: &Query<Admitted>) -> Result<Pin, (ErrorKind, &'static str)> {
-    let layout = query.service().layout();
-    let unknown = (ErrorKind::NotReady, "no index version of the service is known");
-    let pin = pin::choose(layout, query.req().target()).ok_or(unknown)?;
-    let generation = layout.generation(pin.version().generation()).ok_or(unknown)?;
-    if pin.shards().iter().all(|shard| generation.has(*shard)) {
-        Ok(pin)
-    } else {
-        Err((ErrorKind::UnknownShard, "shards: the layout does not have all of them"))
+    let (layout, target) = (query.service().layout(), query.req().target());
+    match pin::choose(layout, target) {
+        Some(pin) => Ok(pin),
+        None if layout.is_empty() || pin::exists(layout, target) => {
+            Err((ErrorKind::NotReady, "no index version of the service is known"))
+        }
+        None => Err((ErrorKind::UnknownShard, "shards: no layout has all of them")),
     }
 }
 
