--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! The single decisions, each on its own.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod support;
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -1,5 +1,7 @@
 //! The engine on fake searchers, on a paused clock.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod support;
 
 use std::{
@@ -8,6 +10,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use endivevale_cases::cases;
@@ -233,7 +236,7 @@
     unknown_service => (|s: &mut Submission| s.service = "other".into(), Routing::All, ErrorKind::UnknownService),
     no_name_at_all => (|s: &mut Submission| s.service = " ".into(), Routing::All, ErrorKind::UnknownService),
     zero_deadline =>
-        (|s: &mut Submission| s.deadline = Some(0 * MS), Routing::All, ErrorKind::BadDeadline),
+        (|s: &mut Submission| s.deadline = Some(Duration::ZERO), Routing::All, ErrorKind::BadDeadline),
     deadline_over_the_cap =>
         (|s: &mut Submission| s.deadline = Some(1001 * MS), Routing::All, ErrorKind::BadDeadline),
     body_over_the_limit =>
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests of this package share: a service on fake searchers.
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::{
     collections::BTreeMap,
--- a/crates/endivevale/src/main.rs
+++ b/crates/endivevale/src/main.rs
@@ -56,7 +56,10 @@
 fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-    Settings::parse(&file, &text).map_err(|e| e.to_string())
+    Settings::parse(&file, &text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    })
 }
 
 async fn run(settings: Settings) -> ExitCode {
--- a/crates/endivevale/src/settings.rs
+++ b/crates/endivevale/src/settings.rs
@@ -20,18 +20,20 @@
 //! assert!(Settings::parse("node.yaml", "nam: x").is_err());
 //! ```
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use endivevale_core::name::{InstanceName, ZoneName};
-use serde::{Deserialize, Deserializer, de};
+use endivevale_operator::{
+    fault::{Fault, Faults},
+    section::Section,
+};
 
 /// How long a leaving node goes on serving before it stops accepting, so
 /// that the balancer has time to see it.
 const DEFAULT_SETTLE: Duration = Duration::from_secs(5);
 
 /// Everything that one node is told.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// The node's name, unique in the deployment.
     pub name: InstanceName,
@@ -42,19 +44,15 @@
     /// Where the platform is, such as `http://127.0.0.1:7000`.
     pub platform: String,
     /// Siblings to ask while the platform's list cannot be had.
-    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// The planned stop.
-    #[serde(default)]
     pub stop: StopSettings,
     /// Logs.
-    #[serde(default)]
     pub log: LogSettings,
 }
 
 /// Where the node listens; port 0 takes any free one.
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, Copy)]
 pub struct Listen {
     /// For callers, HTTP.
     pub caller: SocketAddr,
@@ -65,11 +63,9 @@
 }
 
 /// The planned stop.
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, Copy)]
 pub struct StopSettings {
     /// How long a leaving node goes on accepting, such as `5s`.
-    #[serde(deserialize_with = "span")]
     pub settle: Duration,
 }
 
@@ -80,8 +76,7 @@
 }
 
 /// Logs.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct LogSettings {
     /// How a line is written.
     pub format: LogFormat,
@@ -90,8 +85,8 @@
 }
 
 /// How a log line is written.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, strum::EnumString, strum::VariantNames)]
+#[strum(serialize_all = "snake_case")]
 pub enum LogFormat {
     /// One line of text.
     #[default]
@@ -101,8 +96,8 @@
 }
 
 /// The least severe level that is written.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, strum::EnumString, strum::VariantNames)]
+#[strum(serialize_all = "snake_case")]
 pub enum LogLevel {
     /// Failures that need someone.
     Error,
@@ -115,38 +110,83 @@
     Debug,
 }
 
-/// Why settings could not be read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SettingsError {
-    file: String,
-    line: u64,
-    message: String,
-}
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.file, self.line, self.message)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
 impl Settings {
     /// Reads settings.
     ///
     /// # Errors
     ///
-    /// A [`SettingsError`] that names the file, the line and the field.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        serde_saphyr::from_str(text).map_err(|e| SettingsError {
-            file: file.to_owned(),
-            line: e.location().map_or(0, |at| at.line()),
-            message: e.without_snippet().to_string(),
+    /// Every fault of the file, each with its line and field.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let mut faults = Faults::new(file);
+        let root = Section::read(text, &mut faults);
+        let settings = root.and_then(|root| Self::read(root, &mut faults));
+        match (settings, faults.into_result(())) {
+            (Some(settings), Ok(())) => Ok(settings),
+            (_, Err(found)) => Err(found),
+            (None, Ok(())) => Err(Vec::new()),
+        }
+    }
+
+    fn read(mut root: Section, faults: &mut Faults) -> Option<Self> {
+        let name = root.parsed("name", faults);
+        let zone = root.parsed("zone", faults);
+        let listen = root.section("listen", faults).and_then(|s| Listen::read(s, faults));
+        let platform = root.text("platform", faults);
+        let seeds = match root.has("seeds") {
+            true => root.list("seeds", faults),
+            false => Some(Vec::new()),
+        };
+        let stop = match root.has("stop") {
+            true => root.section("stop", faults).and_then(|s| StopSettings::read(s, faults)),
+            false => Some(StopSettings::default()),
+        };
+        let log = match root.has("log") {
+            true => root.section("log", faults).and_then(|s| LogSettings::read(s, faults)),
+            false => Some(LogSettings::default()),
+        };
+        root.close(faults);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            listen: listen?,
+            platform: platform?,
+            seeds: seeds?,
+            stop: stop?,
+            log: log?,
         })
     }
 }
 
-fn span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    humantime::parse_duration(&text).map_err(de::Error::custom)
+impl Listen {
+    fn read(mut section: Section, faults: &mut Faults) -> Option<Self> {
+        let caller = section.parsed("caller", faults);
+        let admin = section.parsed("admin", faults);
+        let sibling = section.parsed("sibling", faults);
+        section.close(faults);
+        Some(Self { caller: caller?, admin: admin?, sibling: sibling? })
+    }
+}
+
+impl StopSettings {
+    fn read(mut section: Section, faults: &mut Faults) -> Option<Self> {
+        let settle = section.span_or_zero("settle", faults);
+        section.close(faults);
+        Some(Self { settle: settle? })
+    }
+}
+
+impl LogSettings {
+    fn read(mut section: Section, faults: &mut Faults) -> Option<Self> {
+        let default = Self::default();
+        let format = match section.has("format") {
+            true => section.one_of("format", faults),
+            false => Some(default.format),
+        };
+        let level = match section.has("level") {
+            true => section.one_of("level", faults),
+            false => Some(default.level),
+        };
+        section.close(faults);
+        Some(Self { format: format?, level: level? })
+    }
 }
