--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -290,7 +290,7 @@
 async fn get(state: &State, key: &(String, String), query: &str) -> Reply {
     let Some(after) = query_number(query, "after") else {
         state.calls.reads.fetch_add(1, Ordering::Relaxed);
-        return match read(state, key) {
+        return match read(state, key).0 {
             Some((version, body)) => object_reply(version, body),
             None => Reply::status(StatusCode::NOT_FOUND),
         };
@@ -301,7 +301,9 @@
     let mut changed = state.changed.subscribe();
     loop {
         changed.mark_unchanged();
-        if let Some((version, body)) = read(state, key).filter(|(version, _)| *version > after) {
+        let (found, is_stale) = read(state, key);
+        // A stale read shows an earlier version to a watch, too.
+        if let Some((version, body)) = found.filter(|(version, _)| is_stale || *version > after) {
             return object_reply(version, body);
         }
         if !matches!(timeout_at(by, changed.changed()).await, Ok(Ok(()))) {
@@ -313,15 +315,14 @@
     }
 }
 
-/// Reads an object, sometimes an earlier version of it.
-fn read(state: &State, key: &(String, String)) -> Option<(u64, Bytes)> {
+/// Reads an object, sometimes an earlier version of it; says whether it is.
+fn read(state: &State, key: &(String, String)) -> (Option<(u64, Bytes)>, bool) {
     let mut inner = state.lock();
-    let is_stale = inner.faults.stale_reads > 0.0 && {
-        let share = inner.faults.stale_reads;
-        inner.rng.random_range(0.0..1.0) < share
-    };
-    let versions = &inner.objects.get(key)?.versions;
-    if is_stale { versions.front().cloned() } else { versions.back().cloned() }
+    let share = inner.faults.stale_reads;
+    let is_stale = share > 0.0 && inner.rng.random_range(0.0..1.0) < share;
+    let versions = inner.objects.get(key).map(|stored| &stored.versions);
+    let found = versions.and_then(|v| if is_stale { v.front() } else { v.back() });
+    (found.cloned(), is_stale)
 }
 
 fn object_reply(version: u64, body: Bytes) -> Reply {
--- a/crates/standin/src/searcher.rs
+++ b/crates/standin/src/searcher.rs
@@ -105,7 +105,7 @@
     pub dropped: f64,
     /// Run, but the reply is cut short.
     pub cut_short: f64,
-    /// Run, but the reply echoes another attempt.
+    /// Run, but the reply is the one of the attempt before.
     pub crossed: f64,
     /// Run, but the reply comes late by [`LATE_BY`].
     pub late: f64,
@@ -147,6 +147,8 @@
     /// When each attempt came in after the searcher began to leave.
     after_leaving: Vec<Instant>,
     waiting: HashMap<AttemptId, Arc<Notify>>,
+    /// The reply before, which a crossed one repeats.
+    before: Option<(AttemptId, Bytes)>,
     rng: StdRng,
 }
 
@@ -187,6 +189,7 @@
             log: Vec::new(),
             after_leaving: Vec::new(),
             waiting: HashMap::new(),
+            before: None,
             rng: StdRng::seed_from_u64(spec.seed),
         };
         let slots = Semaphore::new(spec.slots);
@@ -456,11 +459,13 @@
     if fate == Fate::Late {
         sleep(LATE_BY).await;
     }
-    let echo = match fate {
-        Fate::Crossed => AttemptId::new(ask.attempt.request(), u32::MAX),
-        _ => ask.attempt,
+    let own = (ask.attempt, part_body(ask));
+    let before = state.lock().before.replace(own.clone());
+    let (echo, body) = match (fate, before) {
+        (Fate::Crossed, Some(before)) => before,
+        _ => own,
     };
-    let mut res = build(state, StatusCode::OK).map(|_| part_body(ask));
+    let mut res = build(state, StatusCode::OK).map(|_| body);
     put(res.headers_mut(), protocol::ATTEMPT, &echo.to_string());
     put(res.headers_mut(), protocol::INDEX_VERSION, &ask.version.to_string());
     res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
