--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -203,11 +203,14 @@
     /// Switches faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
         self.state.lock().faults = faults;
+        // Watches that wait must meet the faults, too.
+        self.state.changed.send_modify(|_| ());
     }
 
     /// Switches the outage alone.
     pub fn set_out(&self, out: bool) {
-        self.state.lock().faults.out = out;
+        let faults = self.state.lock().faults;
+        self.set_faults(PlatformFaults { out, ..faults });
     }
 
     /// Replaces the searchers of the list.
@@ -301,6 +304,9 @@
     let mut changed = state.changed.subscribe();
     loop {
         changed.mark_unchanged();
+        if state.lock().faults.out {
+            return Reply::Dropped;
+        }
         let (found, is_stale) = read(state, key);
         // A stale read shows an earlier version to a watch, too.
         if let Some((version, body)) = found.filter(|(version, _)| is_stale || *version > after) {
@@ -309,9 +315,6 @@
         if !matches!(timeout_at(by, changed.changed()).await, Ok(Ok(()))) {
             return Reply::status(StatusCode::NOT_MODIFIED);
         }
-        if state.lock().faults.out {
-            return Reply::Dropped;
-        }
     }
 }
 
