--- a/crates/endivevale/src/instance.rs
+++ b/crates/endivevale/src/instance.rs
@@ -111,7 +111,9 @@
             Arc::clone(&transport),
             PlatformClaims::new(Arc::clone(&platform)),
         );
-        let exporter = Exporter::new(Arc::clone(&published.views));
+        let drops = Arc::clone(socket.drops());
+        let drop_counts = Arc::new(move || drops.counts());
+        let exporter = Exporter::new(Arc::clone(&published.views), drop_counts);
         let metrics: Arc<dyn Fn() -> String + Send + Sync> = Arc::new(move || exporter.encode());
         let front = Front::new(Arc::new(engine), phase.clone(), Arc::clone(&metrics));
         let in_flight = Arc::clone(front.in_flight());
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,10 @@
 //! A stand-in platform: an object API with versions, conditional updates and
 //! watches, a list that lags, counted calls, and switchable faults.
 //!
+//! A platform that runs on its own is administered over HTTP: `PUT
+//! /admin/searcher` and `/admin/instance` with a record of the list, and `PUT
+//! /admin/faults` with [`PlatformFaults`], all as JSON.
+//!
 //! # Example
 //!
 //! See the [crate](crate).
@@ -25,6 +29,7 @@
     header::{ETAG, HeaderMap, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Deserializer};
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -41,20 +46,27 @@
 const KEPT_LISTS: usize = 256;
 
 /// Faults of the platform.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct PlatformFaults {
     /// Every call fails.
     pub out: bool,
     /// Every call takes this much longer.
+    #[serde(rename = "delay_ms", deserialize_with = "millis")]
     pub delay: Duration,
     /// The share of writes whose reply is lost after they took effect.
     pub lost_replies: f64,
     /// The share of reads that show an earlier version.
     pub stale_reads: f64,
     /// How far the list lags.
+    #[serde(rename = "list_lag_ms", deserialize_with = "millis")]
     pub list_lag: Duration,
 }
 
+fn millis<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    u64::deserialize(deserializer).map(Duration::from_millis)
+}
+
 /// Counts of calls.
 #[derive(Debug, Default)]
 pub struct Calls {
@@ -124,6 +136,23 @@
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().faults = faults;
+        // Watches that wait must meet the faults, too.
+        self.changed.send_modify(|_| ());
+    }
+
+    fn change_list(&self, change: impl FnOnce(&mut Listing)) {
+        let mut inner = self.lock();
+        let mut listing = inner.lists.back().map_or_else(Listing::default, |(_, l)| (**l).clone());
+        change(&mut listing);
+        listing.version += 1;
+        inner.lists.push_back((Instant::now(), Arc::new(listing)));
+        if inner.lists.len() > KEPT_LISTS {
+            inner.lists.pop_front();
+        }
+    }
 }
 
 /// A stand-in platform that runs in this process.
@@ -202,9 +231,7 @@
 
     /// Switches faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        self.state.lock().faults = faults;
-        // Watches that wait must meet the faults, too.
-        self.state.changed.send_modify(|_| ());
+        self.state.set_faults(faults);
     }
 
     /// Switches the outage alone.
@@ -233,14 +260,7 @@
 
     /// Changes the list.
     pub fn change_list(&self, change: impl FnOnce(&mut Listing)) {
-        let mut inner = self.state.lock();
-        let mut listing = inner.lists.back().map_or_else(Listing::default, |(_, l)| (**l).clone());
-        change(&mut listing);
-        listing.version += 1;
-        inner.lists.push_back((Instant::now(), Arc::new(listing)));
-        if inner.lists.len() > KEPT_LISTS {
-            inner.lists.pop_front();
-        }
+        self.state.change_list(change);
     }
 
     /// The latest version of an object; `None` when there is none.
@@ -252,7 +272,43 @@
     }
 }
 
+/// Changes the list or the faults, for stand-ins that run on their own.
+async fn administer(state: &State, req: Request<Incoming>) -> Reply {
+    let what = req.uri().path().to_owned();
+    let Ok(body) = req.into_body().collect().await else {
+        return Reply::Dropped;
+    };
+    let body = body.to_bytes();
+    let done = match what.as_str() {
+        "/admin/searcher" => serde_json::from_slice::<SearcherRecord>(&body).map(|record| {
+            state.change_list(|listing| {
+                listing.searchers.retain(|s| s.name != record.name);
+                listing.searchers.push(record);
+            });
+        }),
+        "/admin/instance" => serde_json::from_slice::<InstanceRecord>(&body).map(|record| {
+            state.change_list(|listing| {
+                listing.instances.retain(|i| i.name != record.name);
+                listing.instances.push(record);
+            });
+        }),
+        "/admin/faults" => serde_json::from_slice(&body).map(|faults| state.set_faults(faults)),
+        _ => return Reply::status(StatusCode::NOT_FOUND),
+    };
+    match done {
+        Ok(()) => Reply::status(StatusCode::OK),
+        Err(e) => {
+            let mut res = Response::new(Bytes::from(format!("{e}\n")));
+            *res.status_mut() = StatusCode::BAD_REQUEST;
+            Reply::Whole(res)
+        }
+    }
+}
+
 async fn handle(state: Arc<State>, req: Request<Incoming>) -> Reply {
+    if req.uri().path().starts_with("/admin/") {
+        return administer(&state, req).await;
+    }
     let faults = state.lock().faults;
     sleep(faults.delay).await;
     if faults.out {
