--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -111,6 +111,13 @@
             .then(|| Ticket { admission: Arc::clone(self), since: Instant::now() })
     }
 
+    /// Lets a query in whether there is room or not.
+    #[must_use]
+    pub fn admit(self: &Arc<Self>) -> Ticket {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Ticket { admission: Arc::clone(self), since: Instant::now() }
+    }
+
     fn adapt(&self, latency: Duration) {
         let target = self.target_us.load(Ordering::Relaxed);
         if latency.as_micros() as u64 > target {
--- a/crates/core/src/engine/leg.rs
+++ b/crates/core/src/engine/leg.rs
@@ -25,6 +25,7 @@
     id::AttemptId,
     intent::Objective,
     layout::{IndexVersion, ShardId},
+    policy::Policy,
     query::{Miss, Request},
     routing::Router,
     searcher::Searcher,
@@ -63,6 +64,7 @@
     pub(super) version: IndexVersion,
     pub(super) by: Instant,
     pub(super) objective: Objective,
+    pub(super) policy: Policy,
     pub(super) numbers: Arc<AttemptNumbers>,
 }
 
@@ -112,7 +114,7 @@
         open.push(self.start(first, None));
         let hedge = sleep_until(self.hedge_at());
         tokio::pin!(hedge);
-        let mut may_hedge = self.cx.req.repeatable;
+        let mut may_hedge = self.cx.req.repeatable && self.cx.policy.hedging;
         loop {
             tokio::select! {
                 Some(outcome) = open.next() => {
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -36,6 +36,7 @@
     intent::{Objective, Rank},
     name::{ServiceName, ZoneName},
     pin::{self, Pin},
+    policy::Policy,
     query::{Admitted, Dispatched, Ended, Miss, Query, Request, Submission},
     routing::Router,
     stats::RankStats,
@@ -68,6 +69,7 @@
 pub struct Engine<T, C> {
     views: Arc<ViewCell>,
     router: Router,
+    policy: Policy,
     transport: Arc<T>,
     claims: C,
 }
@@ -81,8 +83,14 @@
 impl<T: Transport, C: ClaimStore> Engine<T, C> {
     /// An engine for an instance in this availability zone.
     #[must_use]
-    pub fn new(views: Arc<ViewCell>, zone: ZoneName, transport: Arc<T>, claims: C) -> Self {
-        Self { views, router: Router::new(zone), transport, claims }
+    pub fn new(
+        views: Arc<ViewCell>,
+        zone: ZoneName,
+        policy: Policy,
+        transport: Arc<T>,
+        claims: C,
+    ) -> Self {
+        Self { views, router: Router::new(zone, policy), policy, transport, claims }
     }
 
     /// Takes a submission to its answer.
@@ -110,7 +118,12 @@
         last: Rank,
         objective: Objective,
     ) -> Result<Answer, Failure> {
-        let Some(ticket) = service.state().admission.try_admit(req.rank, last) else {
+        let admission = &service.state().admission;
+        let ticket = match self.policy.admission {
+            true => admission.try_admit(req.rank, last),
+            false => Some(admission.admit()),
+        };
+        let Some(ticket) = ticket else {
             let text = "no room for a request of this rank";
             return Err(Failure::new(ErrorKind::Overloaded, text).for_request(req.id));
         };
@@ -184,6 +197,7 @@
             req,
             version: pin.version(),
             objective,
+            policy: self.policy,
             numbers: Arc::clone(numbers),
         });
         let mut tasks = JoinSet::new();
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,29 +9,34 @@
 //! # Example
 //!
 //! ```
-//! use endivevale_core::{name::ZoneName, routing::Router};
+//! use endivevale_core::{name::ZoneName, policy::Policy, routing::Router};
 //!
-//! let router = Router::new(ZoneName::try_new("a").unwrap());
+//! let router = Router::new(ZoneName::try_new("a").unwrap(), Policy::default());
 //! assert!(router.choose(&[], &[], |_| true).is_none());
 //! ```
 
 use std::{cmp::Ordering, sync::Arc};
 
-use rand::RngExt;
+use rand::{RngExt, seq::IndexedRandom};
 
-use crate::{name::ZoneName, searcher::Searcher};
+use crate::{
+    name::ZoneName,
+    policy::{Policy, ReplicaChoice},
+    searcher::Searcher,
+};
 
 /// Chooses replicas for one instance.
 #[derive(Debug, Clone)]
 pub struct Router {
     zone: ZoneName,
+    policy: Policy,
 }
 
 impl Router {
     /// A router for an instance in this availability zone.
     #[must_use]
-    pub const fn new(zone: ZoneName) -> Self {
-        Self { zone }
+    pub const fn new(zone: ZoneName, policy: Policy) -> Self {
+        Self { zone, policy }
     }
 
     /// Chooses one of the replicas that satisfy `usable` and are not among
@@ -47,9 +52,13 @@
             !s.is_leaving() && usable(s) && !tried.iter().any(|t| Arc::ptr_eq(t, s))
         };
         let open: Vec<_> = replicas.iter().filter(is_open).collect();
-        let healthy: Vec<_> = open.iter().copied().filter(|s| !s.is_ejected()).collect();
+        let is_healthy = |s: &&Arc<Searcher>| !(self.policy.ejection && s.is_ejected());
+        let healthy: Vec<_> = open.iter().copied().filter(is_healthy).collect();
         let drawn = if healthy.is_empty() { open } else { healthy };
-        self.better_of_two(&drawn).cloned()
+        match self.policy.choice {
+            ReplicaChoice::TwoChoices => self.better_of_two(&drawn).cloned(),
+            ReplicaChoice::Random => drawn.choose(&mut rand::rng()).copied().cloned(),
+        }
     }
 
     fn better_of_two<'a>(&self, drawn: &[&'a Arc<Searcher>]) -> Option<&'a Arc<Searcher>> {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -22,6 +22,7 @@
     },
     layout::{Holding, IndexVersion, SearcherRecord, SearcherState, ShardId},
     name::{CallerName, SearcherName, ServiceName, ZoneName},
+    policy::Policy,
     query::Submission,
     register::ConfigRegister,
     searcher::{Searcher, SearcherNews},
@@ -281,8 +282,13 @@
         views.store(view(&mut builder, intent(service), records));
         let claims = Arc::new(FakeClaims::default());
         let zone = ZoneName::try_new("a").unwrap();
-        let engine =
-            Engine::new(Arc::clone(&views), zone, Arc::clone(&transport), Arc::clone(&claims));
+        let engine = Engine::new(
+            Arc::clone(&views),
+            zone,
+            Policy::default(),
+            Arc::clone(&transport),
+            Arc::clone(&claims),
+        );
         Self { engine, transport, claims, views, builder }
     }
 
--- a/crates/endivevale/src/instance.rs
+++ b/crates/endivevale/src/instance.rs
@@ -108,6 +108,7 @@
         let engine = Engine::new(
             Arc::clone(&published.views),
             settings.zone.clone(),
+            settings.policy,
             Arc::clone(&transport),
             PlatformClaims::new(Arc::clone(&platform)),
         );
