--- a/crates/core/src/engine/leg.rs
+++ b/crates/core/src/engine/leg.rs
@@ -41,6 +41,9 @@
 /// How long a searcher is passed over after it took no connection.
 const CONNECT_EJECTION: Duration = Duration::from_millis(500);
 
+/// How long a searcher is passed over after an exchange with it was given up.
+const SLOW_EJECTION: Duration = Duration::from_millis(200);
+
 /// Under the coverage objective a second attempt waits this many times
 /// longer than under the tail objective.
 const COVERAGE_PATIENCE: u32 = 2;
@@ -260,7 +263,10 @@
     cx.service.state().legs.sent.inc();
     searcher.stats().sent.inc();
     let sent = unsent.send();
+    let mut timing = Timing { searcher, began, is_over: false };
     let reply = timeout_at(cx.by, cx.transport.send(channel, req)).await;
+    timing.is_over = reply.is_ok();
+    drop(timing);
     match reply.unwrap_or(LegReply::Lost(LostReason::TimedOut)) {
         // A part of another snapshot or shard answers something else.
         LegReply::Part(part) if part.version != cx.version || part.shard != shard => {
@@ -283,6 +289,24 @@
     }
 }
 
+/// Times one exchange. One that is given up, since another attempt was faster
+/// or the deadline passed, counts with the time it took so far: otherwise a
+/// slow searcher would not show, because nobody waits for it to the end.
+struct Timing<'a> {
+    searcher: &'a Searcher,
+    began: Instant,
+    is_over: bool,
+}
+
+impl Drop for Timing<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.searcher.record_given_up(self.began.elapsed());
+            self.searcher.eject_for(SLOW_EJECTION);
+        }
+    }
+}
+
 fn refused(
     searcher: &Searcher,
     sent: Attempt<crate::attempt::Sent>,
@@ -302,6 +326,7 @@
 fn record_part<T>(cx: &Context<T>, searcher: &Searcher, began: Instant) {
     let latency = began.elapsed();
     searcher.stats().parts.inc();
+    searcher.forgive();
     searcher.record_latency(latency);
     cx.service.state().hedge_delay.record(latency);
 }
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -34,7 +34,7 @@
     claim::{Claim, ClaimKey, ClaimStore, Held},
     error::{ErrorKind, Failure, Run},
     intent::{Objective, Rank},
-    name::{ServiceName, ZoneName},
+    name::ServiceName,
     pin::{self, Pin},
     policy::Policy,
     query::{Admitted, Dispatched, Ended, Miss, Query, Request, Submission},
@@ -81,16 +81,10 @@
 }
 
 impl<T: Transport, C: ClaimStore> Engine<T, C> {
-    /// An engine for an instance in this availability zone.
+    /// An engine with these policies.
     #[must_use]
-    pub fn new(
-        views: Arc<ViewCell>,
-        zone: ZoneName,
-        policy: Policy,
-        transport: Arc<T>,
-        claims: C,
-    ) -> Self {
-        Self { views, router: Router::new(zone, policy), policy, transport, claims }
+    pub fn new(views: Arc<ViewCell>, policy: Policy, transport: Arc<T>, claims: C) -> Self {
+        Self { views, router: Router::new(policy), policy, transport, claims }
     }
 
     /// Takes a submission to its answer.
--- a/crates/core/src/searcher.rs
+++ b/crates/core/src/searcher.rs
@@ -50,6 +50,12 @@
 /// The weight of a new sample in the latency estimate, as a divisor.
 const LATENCY_DECAY: u64 = 8;
 
+/// The longest ejection.
+pub const MAX_EJECTION: Duration = Duration::from_secs(2);
+
+/// Doublings of an ejection after which it grows no more.
+const MAX_STRIKES: u32 = 4;
+
 new_key_type! {
     /// Identifies an incarnation of a searcher within one process.
     pub struct SearcherKey;
@@ -90,6 +96,8 @@
     /// Until when the searcher is passed over where another replica is up,
     /// in milliseconds since `born`.
     ejected_until_ms: AtomicU64,
+    /// Ejections since the last part.
+    strikes: AtomicU32,
     born: Instant,
     stats: SearcherStats,
 }
@@ -123,6 +131,7 @@
             held: ArcSwap::default(),
             siblings_in_flight: AtomicU32::new(0),
             ejected_until_ms: AtomicU64::new(0),
+            strikes: AtomicU32::new(0),
             born: Instant::now(),
             stats: SearcherStats::default(),
         }
@@ -249,12 +258,29 @@
         self.gate.pressure() + self.siblings_in_flight.load(Ordering::Relaxed)
     }
 
-    /// Passes the searcher over for a while.
+    /// Passes the searcher over for a while: for `span` at first, twice as
+    /// long each time until it gives a part, up to [`MAX_EJECTION`].
     pub fn eject_for(&self, span: Duration) {
-        let until = self.born.elapsed() + span;
+        let strikes = self.strikes.fetch_add(1, Ordering::Relaxed).min(MAX_STRIKES);
+        let until = self.born.elapsed() + (span * 2_u32.pow(strikes)).min(MAX_EJECTION);
         self.ejected_until_ms.store(until.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// The searcher gave a part, so the next ejection is short again.
+    pub fn forgive(&self) {
+        if self.strikes.load(Ordering::Relaxed) != 0 {
+            self.strikes.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes in that an exchange was given up after this long. It would have
+    /// taken longer, so the sample counts only if it is above the estimate.
+    pub fn record_given_up(&self, elapsed: Duration) {
+        if elapsed > self.latency() {
+            self.record_latency(elapsed);
+        }
+    }
+
     /// Whether the searcher is passed over now.
     #[must_use]
     pub fn is_ejected(&self) -> bool {
--- a/crates/endivevale/examples/scenarios.rs
+++ b/crates/endivevale/examples/scenarios.rs
@@ -64,6 +64,14 @@
     #[bpaf(long, argument("SECONDS"), fallback(8), display_fallback)]
     seconds: u64,
 
+    /// Policies to leave out: choice, hedging, admission, ejection
+    #[bpaf(long, argument("POLICY"), many)]
+    without: Vec<String>,
+
+    /// Leave the baseline out
+    #[bpaf(long)]
+    no_baseline: bool,
+
     /// The scenarios: steady, slowed, crest; all without one
     #[bpaf(positional("SCENARIO"), many)]
     scenarios: Vec<String>,
@@ -94,13 +102,26 @@
             "| side | part | rank | asked | whole | partial | refused | unknown | p50 ms | p99 ms | refusal p99 ms | extra load |"
         );
         println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
-        for (side, policy) in [("baseline", Policy::baseline()), ("policies", Policy::default())] {
-            run(args, scenario, side, policy).await?;
+        if !args.no_baseline {
+            run(args, scenario, "baseline", Policy::baseline()).await?;
         }
+        run(args, scenario, "policies", chosen_policy(args)).await?;
     }
     Ok(())
 }
 
+/// The policies less those that are left out.
+fn chosen_policy(args: &Args) -> Policy {
+    let (all, none) = (Policy::default(), Policy::baseline());
+    let is_left_out = |name: &str| args.without.iter().any(|without| without == name);
+    Policy {
+        choice: if is_left_out("choice") { none.choice } else { all.choice },
+        hedging: all.hedging && !is_left_out("hedging"),
+        admission: all.admission && !is_left_out("admission"),
+        ejection: all.ejection && !is_left_out("ejection"),
+    }
+}
+
 struct Bench {
     fleet: Fleet,
     service: &'static str,
