Run on the users' platform: routes, forwarding, the adapter, a whole path

Cause: the product knew only its own searchers' protocol and the stand-in platform. The users' platform has routes by host and path, searchers that register themselves in a store, and merges of the greatest records.

Change: core grows routes, a roster, a schedule of who reads the store, pulses of searchers, a cost-based choice, records, and the forwarder with its legs over the attempts' typestate. crates/platform becomes crates/store, whose client is shared; platform/ decodes the platform's documents and headers and decides nothing. Forwarded requests come in over hyper, since rocket goes on with a handler whose caller has left.

Ruled out: a rocket handler for forwarded requests; probes of searchers; every instance reading the store by itself.

Before: nothing ran there.

--- /dev/null
+++ b/crates/core/src/forward/leg.rs
@@ -0,0 +1,350 @@
+//! One leg of a request: one service, asked until it has a success, a reason
+//! or no time left.
+//!
+//! A request that is not idempotent is sent again only on the evidence that
+//! the attempt before was not run. An idempotent one may also be sent again
+//! after a loss, and a second time while the first is still open. Every
+//! further attempt that may reach a searcher draws on the service's budget.
+
+use std::sync::Arc;
+
+use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
+
+use super::{Carrier, Context, Exchanged, Lost, Refused, Reply, Unreachable};
+use crate::{
+    attempt::{Attempt, Evidence, NotRun, Refusal, Unsent},
+    gate::Permit,
+    id::AttemptId,
+    nearest,
+    searcher::Searcher,
+    view::ServiceView,
+};
+
+/// The most searchers that one leg tries to connect to.
+const MAX_TRIES: usize = 6;
+
+/// How long a searcher is passed over after it took no connection.
+const CONNECT_EJECTION: Duration = Duration::from_millis(400);
+
+/// How long a searcher is passed over after an exchange with it was lost.
+const LOST_EJECTION: Duration = Duration::from_millis(100);
+
+/// How long a searcher is passed over after it had no room.
+const FULL_SPAN: Duration = Duration::from_millis(50);
+
+/// How long a searcher is passed over after it did not answer as fast as
+/// usual: as long as a pause usually lasts.
+const PAUSE_SPAN: Duration = Duration::from_millis(150);
+
+/// How a searcher is ejected after exchanges with it were given up.
+const SLOW_EJECTION: Duration = Duration::from_millis(200);
+
+/// Why a leg has no success.
+pub(super) struct Miss<X> {
+    /// The last failure that a searcher answered with.
+    pub(super) failure: Option<Reply<X>>,
+    /// Whether any attempt may have run.
+    pub(super) evidence: Evidence,
+}
+
+/// How one attempt ended.
+enum End<X> {
+    Success(Reply<X>),
+    Failure(Reply<X>),
+    /// It was not run; whether it reached a searcher all the same.
+    NotRun(NotRun, bool),
+    Lost,
+}
+
+pub(super) struct Leg<'a, C: Carrier> {
+    cx: &'a Context<'a, C>,
+    service: &'a Arc<ServiceView>,
+    /// The searchers tried so far, in order.
+    tried: Vec<Arc<Searcher>>,
+    /// Attempts that reached a searcher, or may have.
+    arrivals: u32,
+    /// Attempts that are open.
+    open: u32,
+    evidence: Evidence,
+    failure: Option<Reply<C::ReplyHead>>,
+}
+
+/// Asks one service.
+pub(super) async fn ask<C: Carrier>(
+    cx: &Context<'_, C>,
+    service: Option<&Arc<ServiceView>>,
+) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
+    let Some(service) = service else {
+        return Err(Miss { failure: None, evidence: Evidence::default() });
+    };
+    let leg = Leg {
+        cx,
+        service,
+        tried: Vec::new(),
+        arrivals: 0,
+        open: 0,
+        evidence: Evidence::default(),
+        failure: None,
+    };
+    leg.run().await
+}
+
+impl<'a, C: Carrier> Leg<'a, C> {
+    async fn run(mut self) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
+        let began = Instant::now();
+        self.service.state().budget.deposit();
+        self.service.state().legs.needed.inc();
+        let mut open = FuturesUnordered::new();
+        match self.choose() {
+            Some(first) => open.push(self.start(first)),
+            None => return Err(self.into_miss()),
+        }
+        let hedge_at = self.cx.hedge.delay().map(|delay| began + delay);
+        let hedge = sleep_until(hedge_at.unwrap_or(self.cx.by));
+        tokio::pin!(hedge);
+        let mut may_hedge = hedge_at.is_some();
+        loop {
+            tokio::select! {
+                Some(end) = open.next() => {
+                    self.open -= 1;
+                    if let Some(reply) = self.take(end) {
+                        self.cx.state.latency.record(began.elapsed());
+                        return Ok(reply);
+                    }
+                    if open.is_empty() {
+                        match self.next_after_end() {
+                            Some(next) => open.push(self.start(next)),
+                            None => return Err(self.into_miss()),
+                        }
+                    }
+                }
+                () = &mut hedge, if may_hedge => {
+                    may_hedge = false;
+                    if let Some(last) = self.tried.last() {
+                        last.pulse().pass_over(PAUSE_SPAN);
+                    }
+                    if let Some(next) = self.hedge() {
+                        open.push(self.start(next));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        searcher: Arc<Searcher>,
+    ) -> impl Future<Output = End<C::ReplyHead>> + use<'a, C> {
+        self.tried.push(Arc::clone(&searcher));
+        self.open += 1;
+        let unsent = Attempt::new(AttemptId::new(self.cx.request, self.tried.len() as u32));
+        attempt(self.cx, self.service, searcher, unsent)
+    }
+
+    /// Takes in how an attempt ended; returns a success.
+    fn take(&mut self, end: End<C::ReplyHead>) -> Option<Reply<C::ReplyHead>> {
+        match end {
+            End::Success(reply) => return Some(reply),
+            End::Failure(reply) => {
+                self.failure = Some(reply);
+                self.evidence.may_have_run();
+                self.arrivals += 1;
+            }
+            End::NotRun(evidence, has_arrived) => {
+                self.evidence.add(evidence);
+                self.arrivals += u32::from(has_arrived);
+            }
+            End::Lost => {
+                self.evidence.may_have_run();
+                self.arrivals += 1;
+            }
+        }
+        None
+    }
+
+    fn choose(&self) -> Option<Arc<Searcher>> {
+        nearest::choose(self.service.searchers(), &self.tried, self.cx.zone)
+    }
+
+    /// Whether one more attempt may reach a searcher.
+    fn may_arrive_again(&self) -> bool {
+        self.arrivals + self.open < self.cx.route.max_attempts && Instant::now() < self.cx.by
+    }
+
+    /// Another searcher for a second attempt, if the budget allows one.
+    fn hedge(&mut self) -> Option<Arc<Searcher>> {
+        if !self.may_arrive_again() {
+            return None;
+        }
+        let next = self.choose().filter(|s| nearest::is_sound(s) && s.gate().has_room())?;
+        let state = self.service.state();
+        if !state.budget.try_withdraw() {
+            return None;
+        }
+        state.legs.hedged.inc();
+        Some(next)
+    }
+
+    /// The searcher for another try, after every open attempt has ended.
+    fn next_after_end(&mut self) -> Option<Arc<Searcher>> {
+        if self.tried.len() >= MAX_TRIES || !self.may_arrive_again() {
+            return None;
+        }
+        if !self.cx.route.is_idempotent && self.evidence.whole().is_none() {
+            return None;
+        }
+        let next = self.choose()?;
+        let state = self.service.state();
+        // An attempt that reached nobody was no load, so the next is a first.
+        if self.arrivals > 0 && !state.budget.try_withdraw() {
+            return None;
+        }
+        state.legs.retried.inc();
+        Some(next)
+    }
+
+    fn into_miss(self) -> Miss<C::ReplyHead> {
+        Miss { failure: self.failure, evidence: self.evidence }
+    }
+}
+
+/// Makes one attempt: a place behind the gate, a connection, one exchange.
+async fn attempt<C: Carrier>(
+    cx: &Context<'_, C>,
+    service: &Arc<ServiceView>,
+    searcher: Arc<Searcher>,
+    unsent: Attempt<Unsent>,
+) -> End<C::ReplyHead> {
+    let Some(permit) = searcher.gate().enter(cx.route.rank, cx.by).await else {
+        return End::NotRun(unsent.not_run(), false);
+    };
+    let channel = match cx.carrier.open(&searcher, cx.by).await {
+        Ok(channel) => channel,
+        Err(why) => {
+            searcher.stats().connect_refused.inc();
+            if why == Unreachable::Refused || Instant::now() < cx.by {
+                searcher.eject_for(CONNECT_EJECTION);
+            }
+            return End::NotRun(unsent.not_run(), false);
+        }
+    };
+    // A searcher that was seen leaving while this attempt waited gets no new
+    // work, and work that has expired is dropped before sending.
+    if Instant::now() >= cx.by || searcher.is_leaving() {
+        return End::NotRun(unsent.not_run(), false);
+    }
+    service.state().legs.sent.inc();
+    let end = exchange(cx, &searcher, unsent, channel).await;
+    drop::<Permit>(permit);
+    end
+}
+
+async fn exchange<C: Carrier>(
+    cx: &Context<'_, C>,
+    searcher: &Arc<Searcher>,
+    unsent: Attempt<Unsent>,
+    channel: C::Channel,
+) -> End<C::ReplyHead> {
+    searcher.stats().sent.inc();
+    let id = unsent.id();
+    let sent = unsent.send();
+    let mut open = OpenExchange::begin(searcher);
+    let reply = timeout_at(cx.by, cx.carrier.exchange(channel, searcher, cx.head, cx.by)).await;
+    match reply.unwrap_or(Exchanged::Lost(Lost::TimedOut)) {
+        Exchanged::Success(reply) => {
+            open.heard();
+            searcher.stats().parts.inc();
+            searcher.forgive();
+            drop(sent.settle());
+            End::Success(reply)
+        }
+        Exchanged::Failure(reply) => {
+            open.heard();
+            searcher.stats().failed.inc();
+            searcher.suspect(LOST_EJECTION);
+            drop(sent.settle());
+            End::Failure(reply)
+        }
+        Exchanged::Refused(why) => {
+            open.heard();
+            searcher.stats().refused.inc();
+            note_refusal(searcher, why);
+            not_run(sent, id, true)
+        }
+        // Only the connection was dead; that says nothing of the searcher.
+        Exchanged::Unsent => {
+            open.broke_off();
+            not_run(sent, id, false)
+        }
+        Exchanged::Lost(why) => {
+            drop(sent.settle());
+            searcher.stats().failed.inc();
+            if why != Lost::TimedOut {
+                open.broke_off();
+                searcher.suspect(LOST_EJECTION);
+            }
+            End::Lost
+        }
+    }
+}
+
+fn note_refusal(searcher: &Searcher, why: Refused) {
+    match why {
+        Refused::Full => searcher.pulse().pass_over(FULL_SPAN),
+        // Its address belongs to another searcher now.
+        Refused::NotThere => {
+            searcher.mark_leaving();
+        }
+    }
+}
+
+/// Takes an attempt back that was not run by the evidence of its carrier.
+fn not_run<X>(sent: Attempt<crate::attempt::Sent>, id: AttemptId, has_arrived: bool) -> End<X> {
+    match sent.refused(&Refusal::of(id)) {
+        Ok(unsent) => End::NotRun(unsent.not_run(), has_arrived),
+        Err(sent) => {
+            drop(sent.settle());
+            End::Lost
+        }
+    }
+}
+
+/// Counts an exchange as open at its searcher. One that is given up, since
+/// another attempt was faster or the time is over, counts with the time that
+/// it took so far, or a searcher for which nobody waits would not show.
+struct OpenExchange<'a> {
+    searcher: &'a Searcher,
+    began: Instant,
+    is_over: bool,
+}
+
+impl<'a> OpenExchange<'a> {
+    fn begin(searcher: &'a Searcher) -> Self {
+        searcher.pulse().begin();
+        Self { searcher, began: Instant::now(), is_over: false }
+    }
+
+    /// A reply came.
+    fn heard(&mut self) {
+        self.is_over = true;
+        self.searcher.pulse().hear();
+        self.searcher.record_latency(self.began.elapsed());
+    }
+
+    /// The connection ended.
+    fn broke_off(&mut self) {
+        self.is_over = true;
+        self.searcher.pulse().give_up();
+    }
+}
+
+impl Drop for OpenExchange<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.searcher.pulse().give_up();
+            self.searcher.record_given_up(self.began.elapsed());
+            self.searcher.suspect(SLOW_EJECTION);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,241 @@
+//! Which searchers exist, as the store's entries and their changes tell it.
+//!
+//! An entry that disappears normally means that its searcher is leaving. While
+//! the store cannot be reached, entries also disappear because their searchers
+//! could not renew them. Such an entry comes back soon after the store does,
+//! so its disappearance is believed only after [`LAPSE_GRACE`].
+//!
+//! The roster also follows lists that siblings read, so that an instance that
+//! was cut off from the store resumes from what the others know.
+//!
+//! # Example
+//!
+//! ```
+//! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+//! use endivevale_core::roster::Roster;
+//! use tokio::time::Instant;
+//!
+//! let mut roster = Roster::new();
+//! roster.replace(vec![], 7, Instant::now());
+//! assert_eq!(roster.revision(), 7);
+//! # });
+//! ```
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    layout::{InstanceRecord, Listing, SearcherRecord, SearcherState},
+    name::SearcherName,
+};
+
+/// Without an answer of the store for this long, it counts as having been
+/// away. An entry lapses after three missed renewals, which take longer.
+pub const AWAY_AFTER: Duration = Duration::from_millis(2000);
+
+/// How long after the store's return a missing entry is kept.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+
+/// One change of the entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// An entry was written.
+    Written(SearcherRecord),
+    /// An entry was removed.
+    Removed(SearcherName),
+    /// An entry was written that names no searcher to use.
+    Unusable(SearcherName),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    record: SearcherRecord,
+    /// Until when the entry is kept although the store no longer has it.
+    kept_until: Option<Instant>,
+}
+
+/// The searchers that can be used, and the revision up to which that holds.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<SearcherName, Entry>,
+    instances: Vec<InstanceRecord>,
+    /// The store's revision up to which changes were taken in. Invariant:
+    /// never falls.
+    revision: u64,
+    /// The revision at which the content last changed. Invariant: at most
+    /// `revision`, and never falls.
+    version: u64,
+    /// When the store last answered this instance or a sibling.
+    answered: Option<Instant>,
+    /// When the store last came back after having been away.
+    returned: Option<Instant>,
+}
+
+impl Roster {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The store's revision up to which changes were taken in; 0 before the
+    /// first list.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The revision at which the content last changed.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The store answered, whatever it said.
+    pub fn note_answer(&mut self, now: Instant) {
+        let was_away =
+            self.answered.is_some_and(|at| now.saturating_duration_since(at) >= AWAY_AFTER);
+        if was_away {
+            self.returned = Some(now);
+        }
+        self.answered = Some(now);
+    }
+
+    /// Takes in a whole list. Returns whether the content changed.
+    pub fn replace(&mut self, records: Vec<SearcherRecord>, revision: u64, now: Instant) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.note_answer(now);
+        let listed: HashSet<SearcherName> = records.iter().map(|r| r.name.clone()).collect();
+        let mut is_changed = self.version == 0;
+        for name in self.names_outside(&listed) {
+            is_changed |= self.remove(&name, now);
+        }
+        for record in records {
+            is_changed |= self.write(record);
+        }
+        self.advance(revision, is_changed);
+        is_changed
+    }
+
+    fn names_outside(&self, listed: &HashSet<SearcherName>) -> Vec<SearcherName> {
+        self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect()
+    }
+
+    /// Takes in changes up to a revision. Returns whether the content changed.
+    pub fn apply(&mut self, changes: Vec<Change>, revision: u64, now: Instant) -> bool {
+        self.note_answer(now);
+        if revision < self.revision {
+            return false;
+        }
+        let mut is_changed = false;
+        for change in changes {
+            is_changed |= match change {
+                Change::Written(record) => self.write(record),
+                Change::Removed(name) => self.remove(&name, now),
+                Change::Unusable(name) => self.entries.remove(&name).is_some(),
+            };
+        }
+        self.advance(revision, is_changed);
+        is_changed
+    }
+
+    /// Takes in the instances of the tier. Returns whether they changed.
+    pub fn set_instances(&mut self, mut instances: Vec<InstanceRecord>) -> bool {
+        instances.sort_by(|a, b| a.name.cmp(&b.name));
+        if self.instances == instances {
+            return false;
+        }
+        self.instances = instances;
+        self.version = self.revision;
+        true
+    }
+
+    /// The instances of the tier.
+    #[must_use]
+    pub fn instances(&self) -> &[InstanceRecord] {
+        &self.instances
+    }
+
+    /// Drops entries whose time to come back has passed. Returns whether the
+    /// content changed.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.kept_until.is_none_or(|until| now < until));
+        let is_changed = self.entries.len() != before;
+        self.advance(self.revision, is_changed);
+        is_changed
+    }
+
+    /// Follows a list that a sibling read at `revision`. Returns whether the
+    /// content changed.
+    pub fn adopt(&mut self, listing: &Listing, revision: u64, now: Instant) -> bool {
+        self.note_answer(now);
+        if listing.version <= self.version {
+            return false;
+        }
+        let kept = |record: &SearcherRecord| Entry { record: record.clone(), kept_until: None };
+        self.entries = listing.searchers.iter().map(|r| (r.name.clone(), kept(r))).collect();
+        self.instances = listing.instances.clone();
+        self.version = listing.version;
+        self.revision = self.revision.max(revision).max(listing.version);
+        true
+    }
+
+    /// A sibling whose list has the same version knows that it holds up to a
+    /// later revision.
+    pub fn hold_until(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// The content as a list for views and siblings.
+    #[must_use]
+    pub fn listing(&self) -> Arc<Listing> {
+        Arc::new(Listing {
+            version: self.version,
+            searchers: self.entries.values().map(|e| e.record.clone()).collect(),
+            instances: self.instances.clone(),
+        })
+    }
+
+    fn advance(&mut self, revision: u64, is_changed: bool) {
+        self.revision = self.revision.max(revision);
+        if is_changed {
+            // Two changes at one revision still need two versions.
+            self.revision = self.revision.max(self.version + 1);
+            self.version = self.revision;
+        }
+    }
+
+    fn write(&mut self, record: SearcherRecord) -> bool {
+        let known = self.entries.get(&record.name);
+        if known.is_some_and(|entry| entry.record.incarnation > record.incarnation) {
+            return false;
+        }
+        let is_changed = known.is_none_or(|entry| entry.record != record);
+        let name = record.name.clone();
+        self.entries.insert(name, Entry { record, kept_until: None });
+        is_changed
+    }
+
+    fn remove(&mut self, name: &SearcherName, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else { return false };
+        let until = self.returned.map(|at| at + LAPSE_GRACE).filter(|until| now < *until);
+        match until {
+            Some(until) if entry.record.state == SearcherState::Live => {
+                entry.kept_until.get_or_insert(until);
+                false
+            }
+            _ => {
+                self.entries.remove(name);
+                true
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/endivevale/src/forwarding/follow.rs
@@ -0,0 +1,425 @@
+//! The control task: turns what the store and the siblings say into views.
+//!
+//! It is the only writer of views, of the roster and of the node's life
+//! cycle, so none of them needs a lock. Calls and exchanges run in tasks of
+//! their own and report back, so that a slow store never holds it up.
+
+use std::{collections::HashSet, net::SocketAddr, sync::Arc};
+
+use endivevale_core::{
+    intent::ConfigVersion,
+    layout::{InstanceRecord, SearcherRecord},
+    membership::Heartbeat,
+    name::InstanceName,
+    node::{Node, Starting},
+    reader::ReadSchedule,
+    roster::Roster,
+    searcher::SearcherKey,
+    share::FleetSize,
+    view::{ViewBuilder, ViewCell},
+};
+use endivevale_searcher::Links;
+use endivevale_sibling::{
+    exchange,
+    heartbeat::HeartbeatSocket,
+    wire::{Pull, Pulled},
+};
+use endivevale_store::directory::{
+    ConfigRead, Directory, DirectoryError, SearcherChanges, SearcherList,
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::{Duration, Instant, interval, sleep, sleep_until},
+};
+
+use crate::{feeds::Sink, life::Life};
+
+/// How often the instances of the tier are read.
+const INSTANCES_INTERVAL: Duration = Duration::from_secs(4);
+
+/// How often a fresh instance asks another seed.
+const SEED_INTERVAL: Duration = Duration::from_millis(400);
+
+/// The pause between two tries to register.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
+/// Reports that wait for the control task.
+const REPORTS: usize = 64;
+
+/// What a task reports back.
+enum Report {
+    /// A read of the store.
+    Read(Result<Read, DirectoryError>),
+    /// A read of the instances.
+    Instances(Result<Vec<InstanceRecord>, DirectoryError>),
+    /// What a sibling has above this instance's versions, and the revision
+    /// up to which its list holds.
+    Pulled(Pulled, u64),
+    /// A pull failed or was not needed any more.
+    NotPulled,
+}
+
+/// What one read of the store brought.
+struct Read {
+    config: ConfigRead,
+    searchers: Searchers,
+}
+
+enum Searchers {
+    List(SearcherList),
+    Changes(SearcherChanges),
+}
+
+/// The control task and what it owns.
+pub(crate) struct Follow<D> {
+    me: InstanceRecord,
+    incarnation: u64,
+    sequence: u64,
+    seeds: Vec<SocketAddr>,
+    directory: Arc<D>,
+    roster: Roster,
+    schedule: ReadSchedule,
+    /// The store's revision up to which configurations were read; 0 before
+    /// the first.
+    config_revision: u64,
+    /// Whether the whole list must be read, since changes are not known.
+    needs_list: bool,
+    sink: Sink,
+    builder: ViewBuilder,
+    fleet: FleetSize,
+    views: Arc<ViewCell>,
+    links: Arc<Links>,
+    life: Life,
+    socket: Arc<HeartbeatSocket>,
+    reports: mpsc::Sender<Report>,
+    incoming: mpsc::Receiver<Report>,
+    is_reading: bool,
+    is_pulling: bool,
+    /// Whether the store answered the last read.
+    is_store_up: bool,
+    /// What the last view was built from.
+    built: Option<BuiltFrom>,
+}
+
+/// What a view is built from; while it is the same, the view stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct BuiltFrom {
+    config: ConfigVersion,
+    listing: u64,
+    instances: u32,
+}
+
+/// What the control task is given.
+pub(crate) struct FollowParts<D> {
+    pub(crate) me: InstanceRecord,
+    /// Siblings to ask while nothing is known.
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) directory: Arc<D>,
+    pub(crate) sink: Sink,
+    pub(crate) views: Arc<ViewCell>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) node: Node<Starting>,
+    pub(crate) socket: Arc<HeartbeatSocket>,
+}
+
+impl<D: Directory> Follow<D> {
+    pub(crate) fn new(parts: FollowParts<D>) -> Self {
+        let (reports, incoming) = mpsc::channel(REPORTS);
+        let now = Instant::now();
+        Self {
+            schedule: ReadSchedule::new(parts.me.name.clone(), now),
+            incarnation: crate::millis_since_epoch(),
+            me: parts.me,
+            sequence: 0,
+            seeds: parts.seeds,
+            directory: parts.directory,
+            roster: Roster::new(),
+            config_revision: 0,
+            needs_list: true,
+            sink: parts.sink,
+            builder: ViewBuilder::new(),
+            fleet: FleetSize::new(1),
+            views: parts.views,
+            links: parts.links,
+            life: Life::Starting(parts.node),
+            socket: parts.socket,
+            reports,
+            incoming,
+            is_reading: false,
+            is_pulling: false,
+            is_store_up: true,
+            built: None,
+        }
+    }
+
+    /// Runs until the node's process ends.
+    pub(crate) async fn run(mut self, leave: Arc<Notify>) {
+        tokio::spawn(register(Arc::clone(&self.directory), self.me.clone()));
+        let socket = Arc::clone(&self.socket);
+        let mut instances = interval(INSTANCES_INTERVAL);
+        let mut seeds = interval(SEED_INTERVAL);
+        loop {
+            let due = self.schedule.due();
+            let is_fresh = self.views.load().config().is_none();
+            tokio::select! {
+                (beat, from) = socket.receive_from() => self.observe(&beat, from),
+                Some(report) = self.incoming.recv() => self.take(report).await,
+                () = leave.notified() => self.life.leave(),
+                () = sleep_until(due), if !self.is_reading => self.read(),
+                _ = instances.tick() => self.read_instances(due),
+                _ = seeds.tick(), if is_fresh => self.ask_seed(),
+            }
+        }
+    }
+
+    /// Reads the store, on behalf of all.
+    fn read(&mut self) {
+        self.is_reading = true;
+        let directory = Arc::clone(&self.directory);
+        let (config, searchers) = (self.config_revision, self.roster.revision());
+        let is_whole = self.needs_list || searchers == 0;
+        let reports = self.reports.clone();
+        tokio::spawn(async move {
+            let read = read(&*directory, config, searchers, is_whole).await;
+            report(&reports, Report::Read(read)).await;
+        });
+    }
+
+    /// Reads the instances, if this instance reads on behalf of all or knows
+    /// none.
+    fn read_instances(&self, due: Instant) {
+        let reads_for_all = due <= Instant::now() + endivevale_core::reader::READ_INTERVAL;
+        if !reads_for_all && !self.roster.instances().is_empty() {
+            return;
+        }
+        let (directory, reports) = (Arc::clone(&self.directory), self.reports.clone());
+        tokio::spawn(async move {
+            let instances = directory.list_instances().await;
+            report(&reports, Report::Instances(instances)).await;
+        });
+    }
+
+    /// Asks another seed each time, in case one is gone.
+    fn ask_seed(&mut self) {
+        let seeds: Vec<_> = self.seeds.iter().filter(|addr| **addr != self.me.sibling).collect();
+        if seeds.is_empty() {
+            return;
+        }
+        self.sequence += 1;
+        let addr = *seeds[self.sequence as usize % seeds.len()];
+        self.pull(addr, 0);
+    }
+
+    fn pull(&mut self, addr: SocketAddr, revision: u64) {
+        if std::mem::replace(&mut self.is_pulling, true) {
+            return;
+        }
+        let have = Pull { config: self.sink.config.version(), listing: self.roster.version() };
+        let reports = self.reports.clone();
+        tokio::spawn(async move {
+            let pulled = match exchange::pull(addr, have).await {
+                Ok(pulled) => Report::Pulled(pulled, revision),
+                Err(e) => {
+                    log::debug!(target: "sibling", "Nothing from {addr}: {e}.");
+                    Report::NotPulled
+                }
+            };
+            report(&reports, pulled).await;
+        });
+    }
+
+    /// Takes in that a sibling has read the store.
+    fn observe(&mut self, beat: &Heartbeat, from: SocketAddr) {
+        if beat.sender == self.me.name {
+            return;
+        }
+        let is_behind =
+            beat.config > self.sink.config.version() || beat.listing > self.roster.version();
+        if is_behind {
+            self.pull(from, beat.revision);
+            return;
+        }
+        let now = Instant::now();
+        self.roster.note_answer(now);
+        if beat.listing == self.roster.version() {
+            self.roster.hold_until(beat.revision);
+            self.schedule.note_read(now);
+        }
+    }
+
+    async fn take(&mut self, report: Report) {
+        match report {
+            Report::Read(Ok(read)) => self.take_read(read).await,
+            Report::Read(Err(e)) => self.take_failure(&e),
+            Report::Instances(Ok(instances)) => {
+                self.roster.set_instances(instances);
+                self.refresh();
+            }
+            Report::Instances(Err(e)) => {
+                log::debug!(target: "platform", "The instances could not be read: {e}.");
+            }
+            Report::Pulled(pulled, revision) => self.take_pulled(pulled, revision),
+            Report::NotPulled => self.is_pulling = false,
+        }
+    }
+
+    async fn take_read(&mut self, read: Read) {
+        let now = Instant::now();
+        self.is_reading = false;
+        if !std::mem::replace(&mut self.is_store_up, true) {
+            log::info!(target: "platform", "The store answers again.");
+        }
+        if let Some((version, text)) = &read.config.config {
+            self.sink.take_config(*version, text, "the store");
+        }
+        self.config_revision = self.config_revision.max(read.config.revision);
+        match read.searchers {
+            Searchers::List(list) => {
+                self.roster.replace(list.records, list.revision, now);
+                self.needs_list = false;
+            }
+            Searchers::Changes(news) => {
+                self.roster.apply(news.changes, news.revision, now);
+            }
+        }
+        self.roster.expire(now);
+        self.schedule.succeeded(now);
+        self.refresh();
+        let beat = self.heartbeat();
+        self.socket.send_to_all(&beat).await;
+    }
+
+    fn take_failure(&mut self, e: &DirectoryError) {
+        self.is_reading = false;
+        let now = Instant::now();
+        if *e == DirectoryError::HistoryGone {
+            log::info!(target: "platform", "The store has dropped its history; reading all.");
+            self.needs_list = true;
+            self.config_revision = 0;
+            return;
+        }
+        if std::mem::replace(&mut self.is_store_up, false) {
+            log::warn!(target: "platform", "The store does not answer: {e}.");
+        }
+        self.schedule.failed(now);
+    }
+
+    fn take_pulled(&mut self, pulled: Pulled, revision: u64) {
+        self.is_pulling = false;
+        let now = Instant::now();
+        if let Some((version, text)) = pulled.config {
+            self.sink.take_config(version, &text, "a sibling");
+        }
+        if let Some(listing) = pulled.listing {
+            self.roster.adopt(&listing, revision, now);
+            self.needs_list = false;
+        }
+        // Without a revision this is a seed's answer, not news of a read.
+        if revision > 0 {
+            self.schedule.note_read(now);
+        }
+        self.refresh();
+    }
+
+    fn heartbeat(&mut self) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            sender: self.me.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            leaving: matches!(self.life, Life::Leaving(_)),
+            config: self.sink.config.version(),
+            listing: self.roster.version(),
+            revision: self.roster.revision(),
+            hears: Vec::new(),
+            departures: Vec::new(),
+            load: Vec::new(),
+        }
+    }
+
+    /// Builds and publishes a new view if anything that it is built from has
+    /// changed, and begins to serve when the view can.
+    fn refresh(&mut self) {
+        if self.roster.version() == 0 {
+            return;
+        }
+        let instances = self.follow_instances();
+        let from = BuiltFrom {
+            config: self.sink.config.version(),
+            listing: self.roster.version(),
+            instances,
+        };
+        if self.built == Some(from) {
+            return;
+        }
+        let listing = self.roster.listing();
+        self.sink.take_listing(&listing);
+        self.publish(&listing.searchers, instances);
+        self.built = Some(from);
+    }
+
+    fn publish(&mut self, searchers: &[SearcherRecord], instances: u32) {
+        let view = self.builder.build(self.sink.config.current(), searchers, instances);
+        let known: HashSet<SearcherKey> = view.searchers().map(|s| s.key()).collect();
+        let can_serve = view.config().is_some();
+        self.views.store(view);
+        self.links.retain(|key| known.contains(&key));
+        if can_serve {
+            self.life.serve();
+        }
+    }
+
+    /// Follows the instances of the tier; returns how many share connections
+    /// and budgets.
+    fn follow_instances(&mut self) -> u32 {
+        let instances = self.roster.instances();
+        let names: Vec<InstanceName> = instances.iter().map(|i| i.name.clone()).collect();
+        let others = instances.iter().filter(|i| i.name != self.me.name);
+        let addrs: HashSet<SocketAddr> =
+            others.map(|i| i.sibling).chain(self.seeds.iter().copied()).collect();
+        let addrs = addrs.into_iter().filter(|addr| *addr != self.me.sibling).collect();
+        if *self.socket.siblings().addrs() != addrs {
+            self.socket.siblings().replace(addrs);
+        }
+        self.schedule.set_instances(&names);
+        self.fleet.observe(names.len().max(1) as u32, Instant::now())
+    }
+}
+
+/// Tells the control task; it ends only with the process.
+async fn report(reports: &mpsc::Sender<Report>, report: Report) {
+    if reports.send(report).await.is_err() {
+        log::debug!(target: "node", "The control task has ended.");
+    }
+}
+
+/// Reads what has changed of both, or all of what no revision is known.
+async fn read<D: Directory>(
+    directory: &D,
+    config: u64,
+    searchers: u64,
+    is_whole: bool,
+) -> Result<Read, DirectoryError> {
+    let config = async {
+        match config {
+            0 => directory.read_config().await,
+            after => directory.watch_config(after, Duration::from_millis(1)).await,
+        }
+    };
+    let searchers = async {
+        match is_whole {
+            true => directory.list_searchers().await.map(Searchers::List),
+            false => directory.searcher_changes(searchers).await.map(Searchers::Changes),
+        }
+    };
+    let (config, searchers) = tokio::join!(config, searchers);
+    Ok(Read { config: config?, searchers: searchers? })
+}
+
+/// Writes this instance's own entry, however long the store is away.
+async fn register<D: Directory>(directory: Arc<D>, me: InstanceRecord) {
+    while let Err(e) = directory.register(&me).await {
+        log::warn!(target: "platform", "This instance is not registered yet: {e}.");
+        sleep(REGISTER_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -0,0 +1,179 @@
+//! Starting and stopping a node that forwards.
+
+use std::{sync::Arc, time::Duration};
+
+use endivevale_adapter::{
+    carrier::PlatformCarrier, config, directory::PlatformDirectory, front::PlatformFront,
+};
+use endivevale_caller::{forwarded::ForwardedFront, server};
+use endivevale_core::{
+    forward::Forwarder, layout::InstanceRecord, node::Node, register, view::ViewCell,
+};
+use endivevale_operator::{
+    admin::{self, AdminState},
+    metrics::Exporter,
+    status::InstanceStatus,
+};
+use endivevale_searcher::Links;
+use endivevale_sibling::exchange::{self, Registers};
+use endivevale_store::StoreClient;
+use tokio::{
+    sync::Notify,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use super::follow::{Follow, FollowParts};
+use crate::{
+    Addresses, StartError,
+    feeds::Sink,
+    instance::bind_sibling,
+    listen,
+    settings::{ForwardingSettings, Settings},
+    stop::{LeaveWish, Signals},
+};
+
+/// What is left of the grace period when the process ends, whatever is still
+/// open.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// A node that forwards.
+#[derive(Debug)]
+pub struct ForwardingInstance {
+    addresses: Addresses,
+    leave: Arc<Notify>,
+    stopped: JoinHandle<()>,
+}
+
+impl ForwardingInstance {
+    /// Starts the node; it serves as soon as it has a configuration and a
+    /// list of searchers.
+    ///
+    /// # Errors
+    ///
+    /// A [`StartError`] when an address cannot be had.
+    pub async fn start(
+        settings: Settings,
+        forwarding: ForwardingSettings,
+    ) -> Result<Self, StartError> {
+        let signals = Signals::listen().map_err(StartError::Signals)?;
+        let (socket, listener) = bind_sibling(settings.listen.sibling).await?;
+        let socket = Arc::new(socket);
+        let terms = forwarding.retry_terms();
+        let read = move |text: &str| config::read(text, terms).map_err(|e| e.to_string());
+        let sink = Sink {
+            config: Arc::new(register::ConfigRegister::new()),
+            listing: Arc::new(register::ListingRegister::new()),
+            changed: Arc::new(Notify::new()),
+            read: Arc::new(read),
+        };
+        let node = Node::starting();
+        let phase = node.phase_handle();
+        let views = Arc::new(ViewCell::default());
+        let links = Arc::new(Links::new());
+
+        let forwarder = Forwarder::new(
+            Arc::clone(&views),
+            Arc::new(PlatformCarrier::new(Arc::clone(&links))),
+            settings.zone.clone(),
+            forwarding.forward(),
+        );
+        let handler = Arc::new(PlatformFront::new(forwarder, Arc::clone(&views)));
+        let front = ForwardedFront::listen(settings.listen.caller, handler, phase.clone())
+            .await
+            .map_err(|e| StartError::Http(e.to_string()))?;
+
+        let drops = Arc::clone(socket.drops());
+        let exporter = Exporter::new(Arc::clone(&views), Arc::new(move || drops.counts()));
+        let wish = LeaveWish { control: Arc::default(), admin: Arc::default() };
+        let status = {
+            let (name, views, phase) = (settings.name.clone(), Arc::clone(&views), phase.clone());
+            Arc::new(move || InstanceStatus::collect(name.as_str(), phase.get(), &views.load(), 0))
+        };
+        let state = AdminState::new(
+            status,
+            Arc::new(move || exporter.encode()),
+            phase,
+            Arc::clone(&wish.admin),
+        );
+        let admin = listen::launch(admin::build(server::config(settings.listen.admin), state));
+        let admin = admin.await?;
+
+        let addresses = Addresses {
+            caller: front.addr(),
+            admin: admin.addr,
+            sibling: socket.local_addr().map_err(StartError::Sibling)?,
+        };
+        let registers =
+            Registers { config: Arc::clone(&sink.config), listing: Arc::clone(&sink.listing) };
+        let (siblings, drops) = (Arc::clone(socket.siblings()), Arc::clone(socket.drops()));
+        tokio::spawn(exchange::serve(listener, registers, siblings, drops));
+        let follow = Follow::new(FollowParts {
+            me: InstanceRecord {
+                name: settings.name.clone(),
+                zone: settings.zone.clone(),
+                sibling: addresses.sibling,
+                caller: addresses.caller,
+                admin: addresses.admin,
+            },
+            seeds: settings.seeds.clone(),
+            directory: Arc::new(PlatformDirectory::new(StoreClient::new(&settings.platform))),
+            sink,
+            views,
+            links,
+            node,
+            socket,
+        });
+        tokio::spawn(follow.run(Arc::clone(&wish.control)));
+        let leave = Arc::clone(&wish.admin);
+        let stop = Stop { settle: settings.stop.settle, grace: forwarding.grace };
+        let stopped = tokio::spawn(stop.run(wish, signals, front));
+        Ok(Self { addresses, leave, stopped })
+    }
+
+    /// Where the node listens.
+    #[must_use]
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// Begins the planned stop.
+    pub fn leave(&self) {
+        self.leave.notify_one();
+    }
+
+    /// Waits until the planned stop is complete.
+    pub async fn stopped(self) {
+        if let Err(e) = self.stopped.await {
+            log::error!(target: "node", "The stop failed: {e}.");
+        }
+    }
+}
+
+/// The planned stop: leave the balancer's view, accept no more, finish.
+struct Stop {
+    /// How long the node goes on accepting, so that the balancer sees that
+    /// it is not ready.
+    settle: Duration,
+    /// When the process is ended from outside.
+    grace: Duration,
+}
+
+impl Stop {
+    async fn run(self, wish: LeaveWish, mut signals: Signals, front: ForwardedFront) {
+        tokio::select! {
+            () = signals.next() => log::info!(target: "node", "Told to leave by a signal."),
+            () = wish.admin.notified() => log::info!(target: "node", "Told to leave by an operator."),
+        }
+        wish.control.notify_one();
+        sleep(self.settle).await;
+        log::info!(target: "node", "Accepts no more.");
+        front.close();
+        let rest = self.grace.saturating_sub(self.settle + EXIT_MARGIN);
+        if timeout(rest, front.in_flight().idle()).await.is_err() {
+            let open = front.in_flight().count();
+            log::warn!(target: "node", "The grace period ends with {open} connections open.");
+        }
+        log::info!(target: "node", "Stopped.");
+    }
+}
--- a/crates/endivevale/src/main.rs
+++ b/crates/endivevale/src/main.rs
@@ -7,7 +7,12 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use endivevale::{Instance, logs, settings::Settings};
+use endivevale::{
+    Instance, StartError,
+    forwarding::ForwardingInstance,
+    logs,
+    settings::{ForwardingSettings, Settings},
+};
 
 /// The exit code of a failed start.
 const EXIT_FAILED: u8 = 1;
@@ -20,7 +25,7 @@
 #[bpaf(options, version)]
 struct Args {
     /// The settings file, in YAML
-    #[bpaf(long, short, argument("FILE"))]
+    #[bpaf(long, short, env("ENDIVEVALE_NODE_FILE"), argument("FILE"))]
     settings: PathBuf,
 
     /// Only check the settings
@@ -43,7 +48,11 @@
     if let Err(e) = logs::set_up(settings.log) {
         eprintln!("log: {e}");
     }
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("the runtime did not start: {e}");
@@ -63,15 +72,34 @@
 }
 
 async fn run(settings: Settings) -> ExitCode {
-    match Instance::start(settings).await {
-        Ok(instance) => {
-            println!("{}", instance.addresses().to_json());
-            instance.stopped().await;
-            ExitCode::SUCCESS
-        }
+    let ended = match settings.forwarding {
+        Some(forwarding) => run_forwarding(settings, forwarding).await,
+        None => run_queries(settings).await,
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e}");
             ExitCode::from(EXIT_FAILED)
         }
     }
 }
+
+/// Serves the query interface until the planned stop.
+async fn run_queries(settings: Settings) -> Result<(), StartError> {
+    let instance = Instance::start(settings).await?;
+    println!("{}", instance.addresses().to_json());
+    instance.stopped().await;
+    Ok(())
+}
+
+/// Forwards routed requests until the planned stop.
+async fn run_forwarding(
+    settings: Settings,
+    forwarding: ForwardingSettings,
+) -> Result<(), StartError> {
+    let instance = ForwardingInstance::start(settings, forwarding).await?;
+    println!("{}", instance.addresses().to_json());
+    instance.stopped().await;
+    Ok(())
+}
--- a/crates/platform/src/backoff.rs
+++ b/crates/store/src/backoff.rs
@@ -3,7 +3,7 @@
 //! # Example
 //!
 //! ```
-//! use endivevale_platform::backoff::Backoff;
+//! use endivevale_store::backoff::Backoff;
 //! use std::time::Duration;
 //!
 //! let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(2));
--- a/crates/platform/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -4,7 +4,7 @@
 //!
 //! ```no_run
 //! # use std::sync::Arc;
-//! use endivevale_platform::{Platform, claims::PlatformClaims};
+//! use endivevale_store::{Platform, claims::PlatformClaims};
 //!
 //! let claims = PlatformClaims::new(Arc::new(Platform::new("http://127.0.0.1:7000")));
 //! ```
--- a/crates/platform/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,7 +7,7 @@
 use std::{fmt, time::Duration};
 
 use bytes::Bytes;
-use endivevale_core::layout::Listing;
+use endivevale_core::{layout::Listing, rate::Allowance};
 use reqwest::{
     Client, Method, RequestBuilder, Response, StatusCode,
     header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH},
@@ -15,19 +15,20 @@
 };
 use tokio::time::timeout;
 
-use crate::budget::CallBudget;
-
 /// The largest object that the platform holds, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1_000_000;
 
 /// How long one call may take, over the time that a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Calls a second that one instance may make.
-const CALLS_PER_SECOND: u32 = 50;
+const CALLS_PER_SECOND: f64 = 50.0;
 
 /// Calls that one instance may make in a burst.
-const CALL_BURST: u32 = 100;
+const CALL_BURST: f64 = 100.0;
 
 /// An object with the version that the platform gave it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -80,16 +81,16 @@
 
 impl std::error::Error for PlatformError {}
 
-/// A client of the platform.
+/// Calls a store over HTTP, within a budget of calls.
 #[derive(Debug)]
-pub struct Platform {
+pub struct StoreClient {
     client: Client,
     base: String,
-    budget: CallBudget,
+    budget: Allowance,
 }
 
-impl Platform {
-    /// A client of the platform at this address, such as
+impl StoreClient {
+    /// A client of the store at this address, such as
     /// `http://127.0.0.1:7000`.
     ///
     /// # Panics
@@ -101,27 +102,43 @@
             .retry(retry::never())
             .redirect(redirect::Policy::none())
             .no_proxy()
-            .connect_timeout(CALL_TIMEOUT)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_user_timeout(endivevale_socket::USER_TIMEOUT)
+            .tcp_keepalive(endivevale_socket::KEEPALIVE_IDLE)
+            .tcp_keepalive_interval(endivevale_socket::KEEPALIVE_INTERVAL)
+            .tcp_keepalive_retries(endivevale_socket::KEEPALIVE_RETRIES)
             .build()
             .expect("an HTTP client without TLS needs nothing from outside");
         Self {
             client,
             base: base.trim_end_matches('/').to_owned(),
-            budget: CallBudget::new(CALLS_PER_SECOND, CALL_BURST),
+            budget: Allowance::new(CALLS_PER_SECOND, Duration::from_secs(1), CALL_BURST),
         }
     }
 
-    fn object(&self, method: Method, kind: &str, name: &str) -> RequestBuilder {
-        self.client.request(method, format!("{}/v1/objects/{kind}/{name}", self.base))
+    /// A request for a path, which may have a query.
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        self.client.request(method, format!("{}{path}", self.base))
     }
 
-    async fn call(&self, req: RequestBuilder, limit: Duration) -> Result<Reply, PlatformError> {
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::OverBudget`] when the call was not made, and
+    /// [`PlatformError::NoReply`] when it was and no whole reply came within
+    /// `limit`.
+    pub async fn call(
+        &self,
+        req: RequestBuilder,
+        limit: Duration,
+    ) -> Result<StoreReply, PlatformError> {
         if !self.budget.try_spend() {
             return Err(PlatformError::OverBudget);
         }
         let exchange = async {
             let res = req.send().await?;
-            Reply::read(res).await
+            StoreReply::read(res).await
         };
         match timeout(limit, exchange).await {
             Ok(Ok(reply)) => Ok(reply),
@@ -129,6 +146,29 @@
             Err(_) => Err(PlatformError::NoReply("timed out".to_owned())),
         }
     }
+}
+
+/// A client of the platform.
+#[derive(Debug)]
+pub struct Platform {
+    store: StoreClient,
+}
+
+impl Platform {
+    /// A client of the platform at this address, such as
+    /// `http://127.0.0.1:7000`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the HTTP client cannot be set up.
+    #[must_use]
+    pub fn new(base: &str) -> Self {
+        Self { store: StoreClient::new(base) }
+    }
+
+    fn object(&self, method: Method, kind: &str, name: &str) -> RequestBuilder {
+        self.store.request(method, &format!("/v1/objects/{kind}/{name}"))
+    }
 
     /// Reads an object; `None` when there is none.
     ///
@@ -136,7 +176,7 @@
     ///
     /// A [`PlatformError`] when the platform does not say.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
-        let reply = self.call(self.object(Method::GET, kind, name), CALL_TIMEOUT).await?;
+        let reply = self.store.call(self.object(Method::GET, kind, name), CALL_TIMEOUT).await?;
         reply.into_object()
     }
 
@@ -154,7 +194,7 @@
     ) -> Result<Option<Object>, PlatformError> {
         let query = format!("?after={after}&wait_ms={}", wait.as_millis());
         let req = self.object(Method::GET, kind, &format!("{name}{query}"));
-        self.call(req, wait + CALL_TIMEOUT).await?.into_object()
+        self.store.call(req, wait + CALL_TIMEOUT).await?.into_object()
     }
 
     /// Writes an object if the condition holds, and returns its version.
@@ -179,10 +219,10 @@
             Condition::Absent => req.header(IF_NONE_MATCH, "*"),
             Condition::Version(version) => req.header(IF_MATCH, format!("\"{version}\"")),
         };
-        let reply = self.call(req, CALL_TIMEOUT).await?;
+        let reply = self.store.call(req, CALL_TIMEOUT).await?;
         match (reply.status, reply.version) {
             (StatusCode::OK | StatusCode::CREATED, Some(version)) => Ok(version),
-            _ => Err(reply.into_error()),
+            _ => Err(reply.error()),
         }
     }
 
@@ -194,10 +234,10 @@
     pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<(), PlatformError> {
         let req = self.object(Method::DELETE, kind, name);
         let req = req.header(IF_MATCH, format!("\"{version}\""));
-        let reply = self.call(req, CALL_TIMEOUT).await?;
+        let reply = self.store.call(req, CALL_TIMEOUT).await?;
         match reply.status {
             StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
-            _ => Err(reply.into_error()),
+            _ => Err(reply.error()),
         }
     }
 
@@ -207,23 +247,26 @@
     ///
     /// A [`PlatformError`] when the platform does not say.
     pub async fn listing(&self) -> Result<Listing, PlatformError> {
-        let req = self.client.get(format!("{}/v1/instances", self.base));
-        let reply = self.call(req, CALL_TIMEOUT).await?;
+        let req = self.store.request(Method::GET, "/v1/instances");
+        let reply = self.store.call(req, CALL_TIMEOUT).await?;
         if reply.status != StatusCode::OK {
-            return Err(reply.into_error());
+            return Err(reply.error());
         }
         serde_json::from_slice(&reply.body).map_err(|e| PlatformError::NoReply(e.to_string()))
     }
 }
 
 /// A reply that came in whole.
-struct Reply {
-    status: StatusCode,
+#[derive(Debug, Clone)]
+pub struct StoreReply {
+    /// The status.
+    pub status: StatusCode,
     version: Option<u64>,
-    body: Bytes,
+    /// The body, whole.
+    pub body: Bytes,
 }
 
-impl Reply {
+impl StoreReply {
     async fn read(res: Response) -> Result<Self, reqwest::Error> {
         let (status, version) = (res.status(), read_version(res.headers()));
         Ok(Self { status, version, body: res.bytes().await? })
@@ -233,11 +276,13 @@
         match (self.status, self.version) {
             (StatusCode::OK, Some(version)) => Ok(Some(Object { version, body: self.body })),
             (StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED, _) => Ok(None),
-            _ => Err(self.into_error()),
+            _ => Err(self.error()),
         }
     }
 
-    fn into_error(self) -> PlatformError {
+    /// What a reply without success says.
+    #[must_use]
+    pub fn error(&self) -> PlatformError {
         match self.status {
             StatusCode::PRECONDITION_FAILED => PlatformError::Conflict(self.version),
             StatusCode::PAYLOAD_TOO_LARGE => PlatformError::TooLarge,
--- a/crates/platform/src/intent.rs
+++ b/crates/store/src/intent.rs
@@ -7,7 +7,7 @@
 //! # Example
 //!
 //! ```
-//! use endivevale_platform::intent::IntentRecord;
+//! use endivevale_store::intent::IntentRecord;
 //!
 //! let record = IntentRecord::new("deployment: sfax\n", "operator-1");
 //! let read = IntentRecord::parse(&record.to_bytes()).unwrap();
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,8 +9,8 @@
 //! # Example
 //!
 //! ```no_run
-//! # async fn run() -> Result<(), endivevale_platform::PlatformError> {
-//! use endivevale_platform::{Condition, Platform};
+//! # async fn run() -> Result<(), endivevale_store::PlatformError> {
+//! use endivevale_store::{Condition, Platform};
 //!
 //! let platform = Platform::new("http://127.0.0.1:7000");
 //! let version = platform.put("intent", "current", "{}".into(), Condition::Absent).await?;
@@ -20,9 +20,11 @@
 //! ```
 
 pub mod backoff;
-pub mod budget;
 pub mod claims;
 pub mod client;
+pub mod directory;
 pub mod intent;
 
-pub use client::{Condition, MAX_OBJECT_BYTES, Object, Platform, PlatformError};
+pub use client::{
+    Condition, MAX_OBJECT_BYTES, Object, Platform, PlatformError, StoreClient, StoreReply,
+};
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -10,12 +10,12 @@
     intent::ConfigVersion,
     name::{CallerName, IdempotencyKey, ServiceName},
 };
-use endivevale_platform::{
+use endivevale_standin::platform::{PlatformFaults, StandinPlatform};
+use endivevale_store::{
     Condition, MAX_OBJECT_BYTES, Platform, PlatformError,
     claims::PlatformClaims,
     intent::{self, Applied, IntentRecord},
 };
-use endivevale_standin::platform::{PlatformFaults, StandinPlatform};
 use tokio::time::Instant;
 
 async fn start() -> (StandinPlatform, Arc<Platform>) {
