Choose searchers by standing, hold back late attempts, log what happened to requests

Change: the choice weighs how slow a searcher is against what is usual and how often it fails; a congested searcher gets one request at a time from each instance; an attempt that would start too late for its objective lets others pass.

--- a/crates/core/src/forward/leg.rs
+++ b/crates/core/src/forward/leg.rs
@@ -11,12 +11,14 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
-use super::{Carrier, Context, Exchanged, Lost, Refused, Reply, Unreachable};
+use super::{Carrier, Context, Exchanged, Lost, Refused, Reply, Unreachable, trace::Event};
 use crate::{
     attempt::{Attempt, Evidence, NotRun, Refusal, Unsent},
     gate::Permit,
     id::AttemptId,
+    intent::Rank,
     nearest,
+    quantile::Quantile,
     searcher::Searcher,
     view::ServiceView,
 };
@@ -37,6 +39,10 @@
 /// usual: as long as a pause usually lasts.
 const PAUSE_SPAN: Duration = Duration::from_millis(150);
 
+/// How long before the latency objective an attempt must start to be in
+/// time, in usual durations.
+const START_MARGIN: f64 = 1.5;
+
 /// How a searcher is ejected after exchanges with it were given up.
 const SLOW_EJECTION: Duration = Duration::from_millis(200);
 
@@ -98,7 +104,10 @@
         let mut open = FuturesUnordered::new();
         match self.choose() {
             Some(first) => open.push(self.start(first)),
-            None => return Err(self.into_miss()),
+            None => {
+                self.note(None, Event::NoSearcher);
+                return Err(self.into_miss());
+            }
         }
         let hedge_at = self.cx.hedge.delay().map(|delay| began + delay);
         let hedge = sleep_until(hedge_at.unwrap_or(self.cx.by));
@@ -123,6 +132,7 @@
                     may_hedge = false;
                     if let Some(last) = self.tried.last() {
                         last.pulse().pass_over(PAUSE_SPAN);
+                        self.note(Some(last), Event::Slow);
                     }
                     if let Some(next) = self.hedge() {
                         open.push(self.start(next));
@@ -163,6 +173,10 @@
         None
     }
 
+    fn note(&self, searcher: Option<&Arc<Searcher>>, event: Event) {
+        note(self.cx, self.service, searcher, event);
+    }
+
     fn choose(&self) -> Option<Arc<Searcher>> {
         nearest::choose(self.service.searchers(), &self.tried, self.cx.zone)
     }
@@ -180,6 +194,7 @@
         let next = self.choose().filter(|s| nearest::is_sound(s) && s.gate().has_room())?;
         let state = self.service.state();
         if !state.budget.try_withdraw() {
+            self.note(None, Event::OverBudget);
             return None;
         }
         state.legs.hedged.inc();
@@ -198,6 +213,7 @@
         let state = self.service.state();
         // An attempt that reached nobody was no load, so the next is a first.
         if self.arrivals > 0 && !state.budget.try_withdraw() {
+            self.note(None, Event::OverBudget);
             return None;
         }
         state.legs.retried.inc();
@@ -209,6 +225,15 @@
     }
 }
 
+fn note<C: Carrier>(
+    cx: &Context<'_, C>,
+    service: &ServiceView,
+    searcher: Option<&Arc<Searcher>>,
+    event: Event,
+) {
+    cx.trace.note(&service.intent().name, searcher.map(|s| s.name()), event);
+}
+
 /// Makes one attempt: a place behind the gate, a connection, one exchange.
 async fn attempt<C: Carrier>(
     cx: &Context<'_, C>,
@@ -216,13 +241,15 @@
     searcher: Arc<Searcher>,
     unsent: Attempt<Unsent>,
 ) -> End<C::ReplyHead> {
-    let Some(permit) = searcher.gate().enter(cx.route.rank, cx.by).await else {
+    let Some(permit) = enter(cx, &searcher).await else {
+        note(cx, service, Some(&searcher), Event::NoPlace);
         return End::NotRun(unsent.not_run(), false);
     };
     let channel = match cx.carrier.open(&searcher, cx.by).await {
         Ok(channel) => channel,
         Err(why) => {
             searcher.stats().connect_refused.inc();
+            note(cx, service, Some(&searcher), Event::NotConnected(why));
             if why == Unreachable::Refused || Instant::now() < cx.by {
                 searcher.eject_for(CONNECT_EJECTION);
             }
@@ -232,16 +259,32 @@
     // A searcher that was seen leaving while this attempt waited gets no new
     // work, and work that has expired is dropped before sending.
     if Instant::now() >= cx.by || searcher.is_leaving() {
+        note(cx, service, Some(&searcher), Event::Left);
         return End::NotRun(unsent.not_run(), false);
     }
     service.state().legs.sent.inc();
-    let end = exchange(cx, &searcher, unsent, channel).await;
+    let end = exchange(cx, service, &searcher, unsent, channel).await;
     drop::<Permit>(permit);
     end
 }
 
+/// Waits for a place behind the searcher's gate. A request that would get
+/// one too late for its latency objective lets all others pass, so that a
+/// searcher with more work than it can do works on what can still be in time.
+async fn enter<C: Carrier>(cx: &Context<'_, C>, searcher: &Searcher) -> Option<Permit> {
+    let usual = cx.state.usual.get().mul_f64(START_MARGIN);
+    let latest_start = cx.in_time_by.checked_sub(usual).unwrap_or(cx.in_time_by).min(cx.by);
+    if Instant::now() < latest_start
+        && let Some(permit) = searcher.gate().enter(cx.route.rank, latest_start).await
+    {
+        return Some(permit);
+    }
+    searcher.gate().enter(Rank::LAST, cx.by).await
+}
+
 async fn exchange<C: Carrier>(
     cx: &Context<'_, C>,
+    service: &Arc<ServiceView>,
     searcher: &Arc<Searcher>,
     unsent: Attempt<Unsent>,
     channel: C::Channel,
@@ -249,39 +292,48 @@
     searcher.stats().sent.inc();
     let id = unsent.id();
     let sent = unsent.send();
-    let mut open = OpenExchange::begin(searcher);
+    let note = |event| note(cx, service, Some(searcher), event);
+    let mut open = OpenExchange::begin(searcher, &cx.state.usual, note);
     let reply = timeout_at(cx.by, cx.carrier.exchange(channel, searcher, cx.head, cx.by)).await;
     match reply.unwrap_or(Exchanged::Lost(Lost::TimedOut)) {
         Exchanged::Success(reply) => {
             open.heard();
             searcher.stats().parts.inc();
+            searcher.standing().record_outcome(true);
             searcher.forgive();
             drop(sent.settle());
             End::Success(reply)
         }
         Exchanged::Failure(reply) => {
             open.heard();
+            note(Event::Failed);
             searcher.stats().failed.inc();
+            searcher.standing().record_outcome(false);
             searcher.suspect(LOST_EJECTION);
             drop(sent.settle());
             End::Failure(reply)
         }
         Exchanged::Refused(why) => {
             open.heard();
+            note(Event::Refused(why));
             searcher.stats().refused.inc();
+            searcher.standing().record_outcome(false);
             note_refusal(searcher, why);
             not_run(sent, id, true)
         }
         // Only the connection was dead; that says nothing of the searcher.
         Exchanged::Unsent => {
             open.broke_off();
+            note(Event::NotSent);
             not_run(sent, id, false)
         }
         Exchanged::Lost(why) => {
             drop(sent.settle());
             searcher.stats().failed.inc();
             if why != Lost::TimedOut {
+                searcher.standing().record_outcome(false);
                 open.broke_off();
+                note(Event::Lost(why));
                 searcher.suspect(LOST_EJECTION);
             }
             End::Lost
@@ -313,23 +365,30 @@
 /// Counts an exchange as open at its searcher. One that is given up, since
 /// another attempt was faster or the time is over, counts with the time that
 /// it took so far, or a searcher for which nobody waits would not show.
-struct OpenExchange<'a> {
+struct OpenExchange<'a, N: Fn(Event)> {
     searcher: &'a Searcher,
+    /// What such an exchange usually takes.
+    usual: &'a Quantile,
     began: Instant,
     is_over: bool,
+    note: N,
 }
 
-impl<'a> OpenExchange<'a> {
-    fn begin(searcher: &'a Searcher) -> Self {
+impl<'a, N: Fn(Event)> OpenExchange<'a, N> {
+    fn begin(searcher: &'a Searcher, usual: &'a Quantile, note: N) -> Self {
         searcher.pulse().begin();
-        Self { searcher, began: Instant::now(), is_over: false }
+        Self { searcher, usual, began: Instant::now(), is_over: false, note }
     }
 
     /// A reply came.
     fn heard(&mut self) {
         self.is_over = true;
         self.searcher.pulse().hear();
-        self.searcher.record_latency(self.began.elapsed());
+        let took = self.began.elapsed();
+        self.searcher.record_latency(took);
+        self.searcher.standing().record(took, self.usual.get());
+        self.searcher.adapt_limit();
+        self.usual.record(took);
     }
 
     /// The connection ended.
@@ -339,11 +398,15 @@
     }
 }
 
-impl Drop for OpenExchange<'_> {
+impl<N: Fn(Event)> Drop for OpenExchange<'_, N> {
     fn drop(&mut self) {
         if !self.is_over {
+            (self.note)(Event::Open);
             self.searcher.pulse().give_up();
-            self.searcher.record_given_up(self.began.elapsed());
+            let elapsed = self.began.elapsed();
+            self.searcher.record_given_up(elapsed);
+            self.searcher.standing().record_given_up(elapsed, self.usual.get());
+            self.searcher.adapt_limit();
             self.searcher.suspect(SLOW_EJECTION);
         }
     }
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -30,8 +30,10 @@
 mod hedge;
 mod leg;
 mod single;
+mod trace;
 
 pub use hedge::HedgePlan;
+use trace::{LineBudget, Trace};
 
 /// A caller told to come back is told so after this long when nothing better
 /// is known: the time in which a lost searcher's replacement, a configuration
@@ -44,6 +46,8 @@
 /// A request as a front end received it.
 #[derive(Debug)]
 pub struct Inbound<H> {
+    /// The caller's identifier of the request; empty if it has none.
+    pub id: Arc<str>,
     /// The host that the caller named.
     pub host: Arc<str>,
     /// The path that the caller named, without the query.
@@ -178,6 +182,7 @@
     carrier: Arc<C>,
     zone: ZoneName,
     settings: ForwardSettings,
+    lines: LineBudget,
 }
 
 /// What the attempts of one request share.
@@ -189,6 +194,7 @@
     head: &'a Arc<C::Head>,
     request: RequestId,
     hedge: HedgePlan,
+    trace: &'a Trace,
     /// When an answer must leave to meet the latency objective.
     in_time_by: Instant,
     /// When the last answer must leave.
@@ -198,13 +204,13 @@
 impl<C: Carrier> Forwarder<C> {
     /// A forwarder for an instance in `zone`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         views: Arc<ViewCell>,
         carrier: Arc<C>,
         zone: ZoneName,
         settings: ForwardSettings,
     ) -> Self {
-        Self { views, carrier, zone, settings }
+        Self { views, carrier, zone, settings, lines: LineBudget::new() }
     }
 
     /// Takes a request to its answer.
@@ -217,7 +223,9 @@
         let view = self.views.load();
         let route = find_route(&view, &req)?;
         let state = view.route_state(&route);
-        let result = self.run(&view, &route, &state, &req).await;
+        let trace = Trace::new(req.received);
+        let result = self.run(&view, &route, &state, &req, &trace).await;
+        self.log(&view, &route, &req, &trace, &result);
         count(&state.stats, req.received.elapsed(), route.objective, &result);
         result
     }
@@ -228,6 +236,7 @@
         route: &Route,
         state: &RouteState,
         req: &Inbound<C::Head>,
+        trace: &Trace,
     ) -> Result<Outbound<C::ReplyHead>, Failure> {
         let patience = req.patience.map_or(route.timeout, |p| p.min(route.timeout));
         let cx = Context {
@@ -238,6 +247,7 @@
             head: &req.head,
             request: RequestId::fresh(),
             hedge: HedgePlan::for_route(route, &state.latency),
+            trace,
             in_time_by: req.received + route.objective.saturating_sub(self.settings.answer_margin),
             by: req.received + patience.saturating_sub(FINAL_MARGIN),
         };
@@ -254,6 +264,39 @@
     }
 }
 
+impl<C: Carrier> Forwarder<C> {
+    /// Writes one line for a request that failed or met something on its way.
+    fn log(
+        &self,
+        view: &View,
+        route: &Route,
+        req: &Inbound<C::Head>,
+        trace: &Trace,
+        result: &Result<Outbound<C::ReplyHead>, Failure>,
+    ) {
+        if (result.is_ok() && trace.is_empty())
+            || !log::log_enabled!(target: "caller", log::Level::Info)
+        {
+            return;
+        }
+        let Some(left_out) = self.lines.try_line() else { return };
+        let outcome = match result {
+            Ok(Outbound::Whole(_)) => "answered".to_owned(),
+            Ok(Outbound::Merged(m)) => format!("answered missing={}", m.missing),
+            Err(f) => format!("failed kind={} why={:?}", f.kind(), f.context()),
+        };
+        let version = view.config().map_or(0, |config| config.version().number());
+        log::info!(
+            target: "caller",
+            "request={} route={} version={version} {outcome} ms={:.1} patience_ms={} left_out={left_out} events={trace}",
+            req.id,
+            route.name,
+            req.received.elapsed().as_secs_f64() * 1e3,
+            req.patience.unwrap_or_default().as_millis(),
+        );
+    }
+}
+
 fn service_of<'a>(view: &'a View, name: &ServiceName) -> Option<&'a Arc<ServiceView>> {
     view.service(name)
 }
--- a/crates/core/src/nearest.rs
+++ b/crates/core/src/nearest.rs
@@ -1,9 +1,11 @@
 //! The choice of a searcher by what it costs to ask it now.
 //!
-//! A searcher in the own availability zone is preferred, since bytes between
-//! zones are paid for. Own requests in flight, a pause and an ejection each
-//! add to the cost, so that a request leaves its zone when the searcher there
-//! is busy, silent or failing. Equal costs are decided by chance.
+//! The cost is how long the searcher takes, compared with what is usual, and
+//! grows with the own requests in flight there. A searcher in another
+//! availability zone costs more, since bytes between zones are paid for; a
+//! pause and an ejection do, too. A request thereby leaves its zone when the
+//! searcher there is busy, slow, silent or failing. Equal costs are decided
+//! by chance.
 //!
 //! # Example
 //!
@@ -21,15 +23,27 @@
 
 use crate::{name::ZoneName, searcher::Searcher};
 
-/// What another zone costs, in requests in flight.
-const OTHER_ZONE_COST: f64 = 2.5;
+/// What another zone costs, in usual durations.
+const OTHER_ZONE_COST: f64 = 1.5;
 
-/// What a silent searcher costs, in requests in flight.
+/// What a request in flight costs, as a share of what the searcher takes.
+const IN_FLIGHT_COST: f64 = 0.6;
+
+/// What a failure costs, in usual durations.
+const FAILURE_COST: f64 = 8.0;
+
+/// What waiting for a place costs, in usual durations.
+const NO_PLACE_COST: f64 = 2.0;
+
+/// What a silent searcher costs, in usual durations.
 const SILENT_COST: f64 = 100.0;
 
-/// What an ejected searcher costs, in requests in flight.
+/// What an ejected searcher costs, in usual durations.
 const EJECTED_COST: f64 = 200.0;
 
+/// Costs that differ by less than this are decided by chance.
+const CHANCE: f64 = 0.2;
+
 /// A searcher counts as silent after this many times its usual latency.
 const SILENT_FACTOR: u32 = 3;
 
@@ -50,7 +64,7 @@
         if searcher.is_leaving() || tried.iter().any(|t| Arc::ptr_eq(t, searcher)) {
             continue;
         }
-        let cost = cost(searcher, zone) + rng.random_range(0.0..0.5);
+        let cost = cost(searcher, zone) + rng.random_range(0.0..CHANCE);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, searcher));
         }
@@ -65,7 +79,13 @@
 }
 
 fn cost(searcher: &Searcher, zone: &ZoneName) -> f64 {
-    let mut cost = f64::from(searcher.gate().pressure());
+    let in_flight = f64::from(searcher.gate().pressure());
+    let standing = searcher.standing();
+    let mut cost = standing.slowness() * (1.0 + IN_FLIGHT_COST * in_flight);
+    cost += FAILURE_COST * standing.failures();
+    if !searcher.gate().has_room() {
+        cost += NO_PLACE_COST;
+    }
     if searcher.zone() != zone {
         cost += OTHER_ZONE_COST;
     }
