Ask shards that the zone lacks through one sibling in another zone

Change: a sibling beside the searchers of the missing shards makes the first attempts, merges what is in when second attempts begin and sends the greatest records; later parts follow one by one. Second attempts and what the sibling could not cover go straight. Ending the question's connection ends its work.

--- a/crates/core/src/forward/gather.rs
+++ b/crates/core/src/forward/gather.rs
@@ -4,130 +4,199 @@
 //! in part if it covers enough; after it, as soon as it does. When too many
 //! shards have failed for any answer, the caller is told at once.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
-use bytes::Bytes;
-use futures::stream::{FuturesUnordered, StreamExt};
+use futures::{
+    future::{AbortHandle, Abortable, BoxFuture},
+    stream::{FuturesUnordered, StreamExt},
+};
 use tokio::time::{Instant, sleep_until};
 
-use super::{Carrier, Context, Merged, Outbound, Reply, leg, refusal};
+use super::{
+    Carrier, Context, Outbound, RETRY_AFTER, Relay, Reply,
+    leg::{self, Before, Miss},
+    parts::Parts,
+    relay::{self, Plan, Step},
+};
 use crate::{
-    attempt::Evidence,
     error::{ErrorKind, Failure},
-    records,
     route::ShardSet,
+    sibling::Sibling,
     view::ServiceView,
 };
 
-/// The parts of a query while they come in.
-struct Gathering<'a> {
-    set: &'a ShardSet,
-    bodies: Vec<Bytes>,
-    /// Invariant: one for each of `bodies`.
-    signatures: Vec<Arc<str>>,
-    failed: usize,
-    evidence: Evidence,
-}
+type LegEnd<X> = (usize, Result<Reply<X>, Miss<X>>);
 
-impl<'a> Gathering<'a> {
-    fn new(set: &'a ShardSet) -> Self {
-        Self {
-            set,
-            bodies: Vec::with_capacity(set.shards.len()),
-            signatures: Vec::with_capacity(set.shards.len()),
-            failed: 0,
-            evidence: Evidence::default(),
-        }
+/// Forwards a query to every shard of the set.
+pub(super) async fn forward<C: Carrier, R: Relay<Head = C::Head>>(
+    cx: &Context<'_, C>,
+    relay: &R,
+    siblings: &[Arc<Sibling>],
+    set: &ShardSet,
+    shards: &[Option<&Arc<ServiceView>>],
+) -> Result<Outbound<C::ReplyHead>, Failure> {
+    let usable = shards.iter().flatten().filter(|s| has_searcher(s)).count();
+    if usable < set.least_shards() {
+        let text = format!("{usable} of {} shards have a searcher", shards.len());
+        return Err(Failure::new(ErrorKind::NotRun, text).retry_after(RETRY_AFTER));
+    }
+    let plan = relay::plan(cx, siblings, shards);
+    let mut gathering = Gathering {
+        cx,
+        shards,
+        parts: Parts::new(set),
+        legs: FuturesUnordered::new(),
+        aborts: HashMap::new(),
+    };
+    gathering.begin(plan.as_ref());
+    match plan {
+        Some(plan) => gathering.run_relayed(relay, set, plan).await,
+        None => gathering.run().await,
     }
+    let Gathering { parts, legs, .. } = gathering;
+    // What is still open ends here, also at the searchers.
+    drop(legs);
+    if parts.cover_enough() {
+        Ok(Outbound::Merged(parts.into_merged()))
+    } else {
+        Err(parts.into_failure(Instant::now() >= cx.by))
+    }
+}
 
-    fn take<X>(&mut self, end: Result<Reply<X>, leg::Miss<X>>) {
-        match end {
-            Ok(Reply { signature: Some(signature), body, .. }) => {
-                self.signatures.push(signature);
-                self.bodies.push(body);
+fn has_searcher(service: &ServiceView) -> bool {
+    service.searchers().iter().any(|s| !s.is_leaving())
+}
+
+/// The legs of one query, and the parts that they brought.
+struct Gathering<'a, C: Carrier> {
+    cx: &'a Context<'a, C>,
+    shards: &'a [Option<&'a Arc<ServiceView>>],
+    parts: Parts<'a>,
+    legs: FuturesUnordered<Abortable<BoxFuture<'a, LegEnd<C::ReplyHead>>>>,
+    /// Ends the leg of a shard whose part has come from a sibling.
+    aborts: HashMap<usize, AbortHandle>,
+}
+
+impl<'a, C: Carrier> Gathering<'a, C> {
+    /// Asks every shard that the plan leaves.
+    fn begin(&mut self, plan: Option<&Plan>) {
+        for place in 0..self.shards.len() {
+            match plan {
+                Some(plan) if plan.places.contains(&place) => self.parts.begin_relay(place),
+                _ => self.ask(place, Before::Nothing),
             }
-            // A reply without a signature is not a part.
-            Ok(_) => self.fail(false),
-            Err(miss) => self.fail(miss.evidence.whole().is_some()),
         }
     }
 
-    const fn fail(&mut self, is_not_run: bool) {
-        self.failed += 1;
-        if !is_not_run {
-            self.evidence.may_have_run();
-        }
+    fn ask(&mut self, place: usize, before: Before) {
+        let (cx, shard) = (self.cx, self.shards[place]);
+        let leg = async move { (place, leg::ask_after(cx, shard, before).await) };
+        let (abort, registration) = AbortHandle::new_pair();
+        self.legs.push(Abortable::new(Box::pin(leg), registration));
+        self.aborts.insert(place, abort);
+        self.parts.begin_leg(place);
     }
 
-    fn covers_enough(&self) -> bool {
-        self.signatures.len() >= self.set.least_shards()
+    fn take(&mut self, end: LegEnd<C::ReplyHead>) {
+        self.parts.end_leg(end.0, end.1);
     }
 
-    /// Whether nothing that may still come changes the outcome.
-    fn is_decided(&self) -> bool {
-        let total = self.set.shards.len();
-        self.signatures.len() + self.failed == total
-            || total - self.failed < self.set.least_shards()
+    /// Gathers without a sibling.
+    async fn run(&mut self) {
+        let objective = sleep_until(self.cx.in_time_by);
+        let last = sleep_until(self.cx.by);
+        tokio::pin!(objective, last);
+        let mut is_late = false;
+        while !self.is_over(is_late) {
+            tokio::select! {
+                biased;
+                Some(end) = self.legs.next() => {
+                    if let Ok(end) = end {
+                        self.take(end);
+                    }
+                }
+                () = &mut objective, if !is_late => is_late = true,
+                () = &mut last => return,
+            }
+        }
     }
 
-    fn into_merged(self) -> Merged {
-        Merged {
-            body: records::greatest(&self.bodies, self.set.top),
-            missing: self.set.shards.len() - self.signatures.len(),
-            signatures: self.signatures,
-        }
+    fn is_over(&self, is_late: bool) -> bool {
+        self.parts.are_decided() || (is_late && self.parts.cover_enough())
     }
 
-    fn into_failure(self, is_late: bool) -> Failure {
-        let (have, least) = (self.signatures.len(), self.set.least_shards());
-        let text =
-            format!("{have} of {} shards answered, {least} are needed", self.set.shards.len());
-        // A leg that is still open, or whose part is dropped, may have run.
-        let is_over = self.failed == self.set.shards.len();
-        if is_over && let Some(evidence) = self.evidence.whole() {
-            return refusal(evidence, &text);
+    /// Gathers with a sibling's help. When second attempts begin, the shards
+    /// that the sibling has not brought get theirs from this instance.
+    async fn run_relayed<R: Relay<Head = C::Head>>(
+        &mut self,
+        relay: &R,
+        set: &ShardSet,
+        plan: Plan,
+    ) {
+        let second_at = Instant::now() + self.cx.hedge.delay().unwrap_or_default();
+        let second = sleep_until(second_at);
+        let objective = sleep_until(self.cx.in_time_by);
+        let last = sleep_until(self.cx.by);
+        let steps = relay::ask(self.cx, relay, set, &plan).fuse();
+        tokio::pin!(second, objective, last, steps);
+        let (mut is_late, mut is_second_due) = (false, true);
+        while !self.is_over(is_late) {
+            tokio::select! {
+                biased;
+                Some(end) = self.legs.next() => {
+                    if let Ok(end) = end {
+                        self.take(end);
+                    }
+                }
+                Some(step) = steps.next() => self.take_step(step, &plan),
+                () = &mut second, if is_second_due => {
+                    is_second_due = false;
+                    self.second_attempts(&plan);
+                }
+                () = &mut objective, if !is_late => is_late = true,
+                () = &mut last => return,
+            }
         }
-        let kind = if is_late { ErrorKind::NothingCovered } else { ErrorKind::SearcherFailed };
-        Failure::new(kind, text)
     }
-}
 
-/// Forwards a query to every shard of the set.
-pub(super) async fn forward<C: Carrier>(
-    cx: &Context<'_, C>,
-    set: &ShardSet,
-    shards: &[Option<&Arc<ServiceView>>],
-) -> Result<Outbound<C::ReplyHead>, Failure> {
-    let usable = shards.iter().flatten().filter(|s| has_searcher(s)).count();
-    if usable < set.least_shards() {
-        let text = format!("{usable} of {} shards have a searcher", shards.len());
-        return Err(Failure::new(ErrorKind::NotRun, text).retry_after(super::RETRY_AFTER));
-    }
-    let mut gathering = Gathering::new(set);
-    let mut legs: FuturesUnordered<_> = shards.iter().map(|shard| leg::ask(cx, *shard)).collect();
-    let objective = sleep_until(cx.in_time_by);
-    let last = sleep_until(cx.by);
-    tokio::pin!(objective, last);
-    let mut is_late = false;
-    loop {
-        tokio::select! {
-            biased;
-            Some(end) = legs.next() => gathering.take(end),
-            () = &mut objective, if !is_late => is_late = true,
-            () = &mut last => break,
-        }
-        if gathering.is_decided() || (is_late && gathering.covers_enough()) {
-            break;
+    fn take_step(&mut self, step: Step, plan: &Plan) {
+        match step {
+            Step::Answer(answer) => {
+                for place in self.parts.take_relayed(&plan.places, &answer) {
+                    if let Some(abort) = self.aborts.get(&place) {
+                        abort.abort();
+                    }
+                }
+                for at in answer.unasked {
+                    if let Some(place) = plan.places.get(usize::from(at)) {
+                        self.end_relay(*place, Before::Nothing);
+                    }
+                }
+            }
+            Step::End { may_have_run } => {
+                for place in plan.places.iter().copied() {
+                    let before = match may_have_run {
+                        true => Before::AttemptIn(plan.sibling.zone().clone()),
+                        false => Before::Nothing,
+                    };
+                    self.end_relay(place, before);
+                }
+            }
         }
     }
-    drop(legs);
-    if gathering.covers_enough() {
-        Ok(Outbound::Merged(gathering.into_merged()))
-    } else {
-        Err(gathering.into_failure(Instant::now() >= cx.by))
+
+    /// The sibling does no more for a shard; nobody else may work on it.
+    fn end_relay(&mut self, place: usize, before: Before) {
+        if self.parts.end_relay(place, before != Before::Nothing) {
+            self.ask(place, before);
+        }
     }
-}
 
-fn has_searcher(service: &ServiceView) -> bool {
-    service.searchers().iter().any(|s| !s.is_leaving())
+    fn second_attempts(&mut self, plan: &Plan) {
+        for place in plan.places.iter().copied() {
+            if self.parts.is_only_relayed(place) {
+                self.ask(place, Before::AttemptIn(plan.sibling.zone().clone()));
+            }
+        }
+    }
 }
--- a/crates/core/src/forward/hedge.rs
+++ b/crates/core/src/forward/hedge.rs
@@ -30,6 +30,12 @@
         Self { delay: Some(latency.get().clamp(least, most)) }
     }
 
+    /// The plan that never sends a second attempt.
+    #[must_use]
+    pub const fn none() -> Self {
+        Self { delay: None }
+    }
+
     /// After how long a second attempt is sent, if ever.
     #[must_use]
     pub const fn delay(&self) -> Option<Duration> {
--- a/crates/core/src/forward/leg.rs
+++ b/crates/core/src/forward/leg.rs
@@ -17,6 +17,7 @@
     gate::Permit,
     id::AttemptId,
     intent::Rank,
+    name::ZoneName,
     nearest,
     quantile::Quantile,
     searcher::Searcher,
@@ -52,6 +53,8 @@
     pub(super) failure: Option<Reply<X>>,
     /// Whether any attempt may have run.
     pub(super) evidence: Evidence,
+    /// Whether any attempt reached a searcher, or may have.
+    pub(super) has_arrived: bool,
 }
 
 /// How one attempt ended.
@@ -66,6 +69,7 @@
 pub(super) struct Leg<'a, C: Carrier> {
     cx: &'a Context<'a, C>,
     service: &'a Arc<ServiceView>,
+    before: Before,
     /// The searchers tried so far, in order.
     tried: Vec<Arc<Searcher>>,
     /// Attempts that reached a searcher, or may have.
@@ -76,40 +80,56 @@
     failure: Option<Reply<C::ReplyHead>>,
 }
 
+/// What came before a leg begins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Before {
+    /// No searcher was asked.
+    Nothing,
+    /// A sibling asked a searcher in this zone, without success.
+    AttemptIn(ZoneName),
+}
+
 /// Asks one service.
 pub(super) async fn ask<C: Carrier>(
     cx: &Context<'_, C>,
     service: Option<&Arc<ServiceView>>,
 ) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
+    ask_after(cx, service, Before::Nothing).await
+}
+
+/// Asks one service, after what came before.
+pub(super) async fn ask_after<C: Carrier>(
+    cx: &Context<'_, C>,
+    service: Option<&Arc<ServiceView>>,
+    before: Before,
+) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
+    let mut evidence = Evidence::default();
+    if before != Before::Nothing {
+        evidence.may_have_run();
+    }
     let Some(service) = service else {
-        return Err(Miss { failure: None, evidence: Evidence::default() });
-    };
-    let leg = Leg {
-        cx,
-        service,
-        tried: Vec::new(),
-        arrivals: 0,
-        open: 0,
-        evidence: Evidence::default(),
-        failure: None,
+        let has_arrived = before != Before::Nothing;
+        return Err(Miss { failure: None, evidence, has_arrived });
     };
+    let arrivals = u32::from(before != Before::Nothing);
+    let leg =
+        Leg { cx, service, before, tried: Vec::new(), arrivals, open: 0, evidence, failure: None };
     leg.run().await
 }
 
 impl<'a, C: Carrier> Leg<'a, C> {
     async fn run(mut self) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
         let began = Instant::now();
-        self.service.state().budget.deposit();
-        self.service.state().legs.needed.inc();
         let mut open = FuturesUnordered::new();
-        match self.choose() {
+        match self.first() {
             Some(first) => open.push(self.start(first)),
             None => {
                 self.note(None, Event::NoSearcher);
                 return Err(self.into_miss());
             }
         }
-        let hedge_at = self.cx.hedge.delay().map(|delay| began + delay);
+        let is_first = self.before == Before::Nothing;
+        let hedge_at = self.cx.hedge.delay().filter(|_| is_first).map(|delay| began + delay);
         let hedge = sleep_until(hedge_at.unwrap_or(self.cx.by));
         tokio::pin!(hedge);
         let mut may_hedge = hedge_at.is_some();
@@ -177,8 +197,38 @@
         note(self.cx, self.service, searcher, event);
     }
 
+    /// The first searcher to ask. After an attempt of a sibling it is a
+    /// second attempt, which draws on the budget.
+    fn first(&mut self) -> Option<Arc<Searcher>> {
+        let state = self.service.state();
+        if self.before == Before::Nothing {
+            state.budget.deposit();
+            state.legs.needed.inc();
+            return self.choose();
+        }
+        if !self.may_arrive_again() {
+            return None;
+        }
+        let first = self.choose()?;
+        if !state.budget.try_withdraw() {
+            self.note(None, Event::OverBudget);
+            return None;
+        }
+        state.legs.retried.inc();
+        Some(first)
+    }
+
     fn choose(&self) -> Option<Arc<Searcher>> {
-        nearest::choose(self.service.searchers(), &self.tried, self.cx.zone)
+        let searchers = self.service.searchers();
+        if let Before::AttemptIn(zone) = &self.before {
+            let elsewhere = searchers.iter().filter(|s| s.zone() != zone && nearest::is_sound(s));
+            let elsewhere: Vec<_> = elsewhere.cloned().collect();
+            let chosen = nearest::choose(&elsewhere, &self.tried, self.cx.zone);
+            if chosen.is_some() {
+                return chosen;
+            }
+        }
+        nearest::choose(searchers, &self.tried, self.cx.zone)
     }
 
     /// Whether one more attempt may reach a searcher.
@@ -221,7 +271,8 @@
     }
 
     fn into_miss(self) -> Miss<C::ReplyHead> {
-        Miss { failure: self.failure, evidence: self.evidence }
+        let has_arrived = self.arrivals > 0;
+        Miss { failure: self.failure, evidence: self.evidence, has_arrived }
     }
 }
 
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -29,10 +29,16 @@
 mod gather;
 mod hedge;
 mod leg;
+mod parts;
+mod relay;
 mod single;
 mod trace;
 
 pub use hedge::HedgePlan;
+pub use relay::{
+    AnswerSink, NoAnswers, NoRelay, Relay, RelayAnswer, RelayAnswers, RelayAsk, RelayError,
+    RelayService,
+};
 use trace::{LineBudget, Trace};
 
 /// A caller told to come back is told so after this long when nothing better
@@ -175,11 +181,13 @@
     pub answer_margin: Duration,
 }
 
-/// Forwards requests over searchers reached by `C`.
+/// Forwards requests over searchers reached by `C` and siblings reached by
+/// `R`.
 #[derive(Debug)]
-pub struct Forwarder<C> {
+pub struct Forwarder<C, R> {
     views: Arc<ViewCell>,
     carrier: Arc<C>,
+    relay: R,
     zone: ZoneName,
     settings: ForwardSettings,
     lines: LineBudget,
@@ -201,16 +209,17 @@
     by: Instant,
 }
 
-impl<C: Carrier> Forwarder<C> {
+impl<C: Carrier, R: Relay<Head = C::Head>> Forwarder<C, R> {
     /// A forwarder for an instance in `zone`.
     #[must_use]
     pub fn new(
         views: Arc<ViewCell>,
         carrier: Arc<C>,
+        relay: R,
         zone: ZoneName,
         settings: ForwardSettings,
     ) -> Self {
-        Self { views, carrier, zone, settings, lines: LineBudget::new() }
+        Self { views, carrier, relay, zone, settings, lines: LineBudget::new() }
     }
 
     /// Takes a request to its answer.
@@ -258,13 +267,13 @@
             }
             Target::Shards(set) => {
                 let shards: Vec<_> = set.shards.iter().map(|s| service_of(view, s)).collect();
-                gather::forward(&cx, set, &shards).await
+                gather::forward(&cx, &self.relay, view.siblings(), set, &shards).await
             }
         }
     }
 }
 
-impl<C: Carrier> Forwarder<C> {
+impl<C: Carrier, R: Relay<Head = C::Head>> Forwarder<C, R> {
     /// Writes one line for a request that failed or met something on its way.
     fn log(
         &self,
--- a/crates/core/src/nearest.rs
+++ b/crates/core/src/nearest.rs
@@ -24,7 +24,7 @@
 use crate::{name::ZoneName, searcher::Searcher};
 
 /// What another zone costs, in usual durations.
-const OTHER_ZONE_COST: f64 = 1.5;
+const OTHER_ZONE_COST: f64 = 2.0;
 
 /// What a request in flight costs, as a share of what the searcher takes.
 const IN_FLIGHT_COST: f64 = 0.6;
--- a/crates/endivevale/src/forwarding/follow.rs
+++ b/crates/endivevale/src/forwarding/follow.rs
@@ -353,6 +353,8 @@
             return;
         }
         let listing = self.roster.listing();
+        let siblings = listing.instances.iter().filter(|i| i.name != self.me.name);
+        self.builder.follow_siblings(siblings);
         self.sink.take_listing(&listing);
         self.publish(&listing.searchers, instances);
         self.built = Some(from);
--- a/crates/endivevale/src/forwarding/instance.rs
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -1,13 +1,20 @@
 //! Starting and stopping a node that forwards.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use endivevale_adapter::{
-    carrier::PlatformCarrier, config, directory::PlatformDirectory, front::PlatformFront,
+    carrier::{ForwardedHeadCodec, PlatformCarrier},
+    config,
+    directory::PlatformDirectory,
+    front::PlatformFront,
 };
 use endivevale_caller::{forwarded::ForwardedFront, server};
 use endivevale_core::{
-    forward::Forwarder, layout::InstanceRecord, node::Node, register, view::ViewCell,
+    forward::{Forwarder, RelayService},
+    layout::InstanceRecord,
+    node::Node,
+    register,
+    view::ViewCell,
 };
 use endivevale_operator::{
     admin::{self, AdminState},
@@ -15,9 +22,14 @@
     status::InstanceStatus,
 };
 use endivevale_searcher::Links;
-use endivevale_sibling::exchange::{self, Registers};
+use endivevale_sibling::{
+    exchange::{self, Registers},
+    heartbeat::Siblings,
+    relay::{self, TcpRelay},
+};
 use endivevale_store::StoreClient;
 use tokio::{
+    net::TcpListener,
     sync::Notify,
     task::JoinHandle,
     time::{sleep, timeout},
@@ -72,9 +84,11 @@
         let views = Arc::new(ViewCell::default());
         let links = Arc::new(Links::new());
 
+        let carrier = Arc::new(PlatformCarrier::new(Arc::clone(&links)));
         let forwarder = Forwarder::new(
             Arc::clone(&views),
-            Arc::new(PlatformCarrier::new(Arc::clone(&links))),
+            Arc::clone(&carrier),
+            TcpRelay::<ForwardedHeadCodec>::new(),
             settings.zone.clone(),
             forwarding.forward(),
         );
@@ -106,6 +120,14 @@
         };
         let registers =
             Registers { config: Arc::clone(&sink.config), listing: Arc::clone(&sink.listing) };
+        let relay = match forwarding.relay {
+            Some(addr) => {
+                let siblings = Arc::clone(socket.siblings());
+                let service = RelayService::new(Arc::clone(&views), carrier, settings.zone.clone());
+                Some(serve_relay(addr, siblings, service).await?)
+            }
+            None => None,
+        };
         let (siblings, drops) = (Arc::clone(socket.siblings()), Arc::clone(socket.drops()));
         tokio::spawn(exchange::serve(listener, registers, siblings, drops));
         let follow = Follow::new(FollowParts {
@@ -115,6 +137,7 @@
                 sibling: addresses.sibling,
                 caller: addresses.caller,
                 admin: addresses.admin,
+                relay,
             },
             seeds: settings.seeds.clone(),
             directory: Arc::new(PlatformDirectory::new(StoreClient::new(&settings.platform))),
@@ -150,6 +173,19 @@
     }
 }
 
+/// Answers siblings' questions at this address; returns where it listens.
+async fn serve_relay(
+    addr: SocketAddr,
+    siblings: Arc<Siblings>,
+    service: RelayService<PlatformCarrier>,
+) -> Result<SocketAddr, StartError> {
+    let listener = TcpListener::bind(addr).await.map_err(StartError::Sibling)?;
+    let addr = listener.local_addr().map_err(StartError::Sibling)?;
+    let service = Arc::new(service);
+    tokio::spawn(relay::serve::<ForwardedHeadCodec, _>(listener, siblings, service));
+    Ok(addr)
+}
+
 /// The planned stop: leave the balancer's view, accept no more, finish.
 struct Stop {
     /// How long the node goes on accepting, so that the balancer sees that
