Tell changes of searchers with the notice, read the settings again at a signal

Change: a notice carries the changes that led to its version, twice; only who misses both fetches the list. Settings are read again at SIGHUP and when the file is found changed. What is believed of searchers is logged when it changes.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -22,11 +22,12 @@
 //! ```
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::{
@@ -42,7 +43,7 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 
 /// One change of the entries.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// An entry was written.
     Written(SearcherRecord),
@@ -52,6 +53,34 @@
     Unusable(SearcherName),
 }
 
+/// The changes from one version of the list to another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version that the changes apply to; 0 when nothing is told.
+    pub since: u64,
+    /// The changes, each of another searcher.
+    pub changes: Vec<Change>,
+}
+
+impl Delta {
+    /// The changes that lead from `old` to `new`. Nothing is told when the
+    /// instances differ, since a delta is of searchers only.
+    #[must_use]
+    pub fn between(old: &Listing, new: &Listing) -> Self {
+        if old.version == 0 || old.instances != new.instances {
+            return Self::default();
+        }
+        let before: HashMap<_, _> = old.searchers.iter().map(|r| (&r.name, r)).collect();
+        let after: HashSet<_> = new.searchers.iter().map(|r| &r.name).collect();
+        let written = new.searchers.iter().filter(|r| before.get(&r.name) != Some(r));
+        let removed = old.searchers.iter().filter(|r| !after.contains(&r.name));
+        let changes = written
+            .map(|r| Change::Written(r.clone()))
+            .chain(removed.map(|r| Change::Removed(r.name.clone())));
+        Self { since: old.version, changes: changes.collect() }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     record: SearcherRecord,
@@ -188,6 +217,29 @@
         true
     }
 
+    /// Follows the changes that a sibling tells, which lead from this list's
+    /// version to `version`. Returns whether they apply here.
+    pub fn follow(&mut self, delta: &Delta, version: u64, revision: u64, now: Instant) -> bool {
+        self.note_answer(now);
+        if delta.since == 0 || delta.since != self.version || version <= self.version {
+            return false;
+        }
+        for change in &delta.changes {
+            match change {
+                Change::Written(record) => {
+                    let entry = Entry { record: record.clone(), kept_until: None };
+                    self.entries.insert(record.name.clone(), entry);
+                }
+                Change::Removed(name) | Change::Unusable(name) => {
+                    self.entries.remove(name);
+                }
+            }
+        }
+        self.version = version;
+        self.revision = self.revision.max(revision).max(version);
+        true
+    }
+
     /// A sibling whose list has the same version knows that it holds up to a
     /// later revision.
     pub fn hold_until(&mut self, revision: u64) {
--- a/crates/endivevale/src/forwarding/follow.rs
+++ b/crates/endivevale/src/forwarding/follow.rs
@@ -8,12 +8,12 @@
 
 use endivevale_core::{
     intent::ConfigVersion,
-    layout::{InstanceRecord, SearcherRecord},
+    layout::{InstanceRecord, Listing, SearcherRecord, SearcherState},
     membership::Heartbeat,
     name::InstanceName,
     node::{Node, Starting},
     reader::ReadSchedule,
-    roster::Roster,
+    roster::{Delta, Roster},
     searcher::SearcherKey,
     share::FleetSize,
     view::{ViewBuilder, ViewCell},
@@ -32,7 +32,7 @@
     time::{Duration, Instant, interval, sleep, sleep_until},
 };
 
-use crate::{feeds::Sink, life::Life};
+use crate::{feeds::Sink, life::Life, reload::CurrentSettings};
 
 /// How often the instances of the tier are read.
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(4);
@@ -40,6 +40,9 @@
 /// How often a fresh instance asks another seed.
 const SEED_INTERVAL: Duration = Duration::from_millis(400);
 
+/// How often the same changes are told, in case a datagram is lost.
+const DELTA_REPEATS: u32 = 2;
+
 /// The pause between two tries to register.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
 
@@ -75,7 +78,9 @@
     me: InstanceRecord,
     incarnation: u64,
     sequence: u64,
-    seeds: Vec<SocketAddr>,
+    /// The settings as they are now; siblings to ask while nothing is known
+    /// are named there.
+    current: CurrentSettings,
     directory: Arc<D>,
     roster: Roster,
     schedule: ReadSchedule,
@@ -97,6 +102,10 @@
     is_pulling: bool,
     /// Whether the store answered the last read.
     is_store_up: bool,
+    /// The list that siblings were last told of.
+    told: Arc<Listing>,
+    /// The changes that led to it, and how often they are still told.
+    delta: (Delta, u32),
     /// What the last view was built from.
     built: Option<BuiltFrom>,
 }
@@ -112,8 +121,7 @@
 /// What the control task is given.
 pub(crate) struct FollowParts<D> {
     pub(crate) me: InstanceRecord,
-    /// Siblings to ask while nothing is known.
-    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) current: CurrentSettings,
     pub(crate) directory: Arc<D>,
     pub(crate) sink: Sink,
     pub(crate) views: Arc<ViewCell>,
@@ -131,7 +139,7 @@
             incarnation: crate::millis_since_epoch(),
             me: parts.me,
             sequence: 0,
-            seeds: parts.seeds,
+            current: parts.current,
             directory: parts.directory,
             roster: Roster::new(),
             config_revision: 0,
@@ -148,6 +156,8 @@
             is_reading: false,
             is_pulling: false,
             is_store_up: true,
+            told: Arc::default(),
+            delta: (Delta::default(), 0),
             built: None,
         }
     }
@@ -201,12 +211,13 @@
 
     /// Asks another seed each time, in case one is gone.
     fn ask_seed(&mut self) {
-        let seeds: Vec<_> = self.seeds.iter().filter(|addr| **addr != self.me.sibling).collect();
+        let mut seeds = self.current.borrow().seeds.clone();
+        seeds.retain(|addr| *addr != self.me.sibling);
         if seeds.is_empty() {
             return;
         }
         self.sequence += 1;
-        let addr = *seeds[self.sequence as usize % seeds.len()];
+        let addr = seeds[self.sequence as usize % seeds.len()];
         self.pull(addr, 0);
     }
 
@@ -233,13 +244,17 @@
         if beat.sender == self.me.name {
             return;
         }
+        let now = Instant::now();
+        if self.roster.follow(&beat.delta, beat.listing, beat.revision, now) {
+            self.forget_delta();
+            self.refresh("a sibling's changes");
+        }
         let is_behind =
             beat.config > self.sink.config.version() || beat.listing > self.roster.version();
         if is_behind {
             self.pull(from, beat.revision);
             return;
         }
-        let now = Instant::now();
         self.roster.note_answer(now);
         if beat.listing == self.roster.version() {
             self.roster.hold_until(beat.revision);
@@ -253,7 +268,7 @@
             Report::Read(Err(e)) => self.take_failure(&e),
             Report::Instances(Ok(instances)) => {
                 self.roster.set_instances(instances);
-                self.refresh();
+                self.refresh("the instances' entries");
             }
             Report::Instances(Err(e)) => {
                 log::debug!(target: "platform", "The instances could not be read: {e}.");
@@ -284,7 +299,7 @@
         }
         self.roster.expire(now);
         self.schedule.succeeded(now);
-        self.refresh();
+        self.refresh("the store");
         let beat = self.heartbeat();
         self.socket.send_to_all(&beat).await;
     }
@@ -311,18 +326,41 @@
             self.sink.take_config(version, &text, "a sibling");
         }
         if let Some(listing) = pulled.listing {
-            self.roster.adopt(&listing, revision, now);
+            if self.roster.adopt(&listing, revision, now) {
+                self.forget_delta();
+            }
             self.needs_list = false;
         }
         // Without a revision this is a seed's answer, not news of a read.
         if revision > 0 {
             self.schedule.note_read(now);
         }
-        self.refresh();
+        self.refresh("a sibling");
+    }
+
+    /// The siblings have heard of this list from another.
+    fn forget_delta(&mut self) {
+        self.told = self.roster.listing();
+        self.delta = (Delta::default(), 0);
+    }
+
+    /// The changes to tell, if siblings may not know them yet.
+    fn delta(&mut self) -> Delta {
+        if self.told.version != self.roster.version() {
+            let listing = self.roster.listing();
+            self.delta = (Delta::between(&self.told, &listing), DELTA_REPEATS);
+            self.told = listing;
+        }
+        if self.delta.1 == 0 {
+            return Delta::default();
+        }
+        self.delta.1 -= 1;
+        self.delta.0.clone()
     }
 
     fn heartbeat(&mut self) -> Heartbeat {
         self.sequence += 1;
+        let delta = self.delta();
         Heartbeat {
             sender: self.me.name.clone(),
             incarnation: self.incarnation,
@@ -331,6 +369,7 @@
             config: self.sink.config.version(),
             listing: self.roster.version(),
             revision: self.roster.revision(),
+            delta,
             hears: Vec::new(),
             departures: Vec::new(),
             load: Vec::new(),
@@ -339,7 +378,7 @@
 
     /// Builds and publishes a new view if anything that it is built from has
     /// changed, and begins to serve when the view can.
-    fn refresh(&mut self) {
+    fn refresh(&mut self, source: &str) {
         if self.roster.version() == 0 {
             return;
         }
@@ -353,6 +392,7 @@
             return;
         }
         let listing = self.roster.listing();
+        log_change(&listing, self.roster.revision(), source, instances);
         let siblings = listing.instances.iter().filter(|i| i.name != self.me.name);
         self.builder.follow_siblings(siblings);
         self.sink.take_listing(&listing);
@@ -378,7 +418,7 @@
         let names: Vec<InstanceName> = instances.iter().map(|i| i.name.clone()).collect();
         let others = instances.iter().filter(|i| i.name != self.me.name);
         let addrs: HashSet<SocketAddr> =
-            others.map(|i| i.sibling).chain(self.seeds.iter().copied()).collect();
+            others.map(|i| i.sibling).chain(self.current.borrow().seeds.clone()).collect();
         let addrs = addrs.into_iter().filter(|addr| *addr != self.me.sibling).collect();
         if *self.socket.siblings().addrs() != addrs {
             self.socket.siblings().replace(addrs);
@@ -388,6 +428,17 @@
     }
 }
 
+/// Writes what this instance believes of searchers now, and from where.
+fn log_change(listing: &Listing, revision: u64, source: &str, instances: u32) {
+    let leaving = listing.searchers.iter().filter(|s| s.state == SearcherState::Leaving).count();
+    log::info!(
+        target: "platform",
+        "Searchers version={} revision={revision} known={} leaving={leaving} instances={instances} by={source:?}.",
+        listing.version,
+        listing.searchers.len(),
+    );
+}
+
 /// Tells the control task; it ends only with the process.
 async fn report(reports: &mpsc::Sender<Report>, report: Report) {
     if reports.send(report).await.is_err() {
--- a/crates/endivevale/src/forwarding/instance.rs
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -41,7 +41,8 @@
     feeds::Sink,
     instance::bind_sibling,
     listen,
-    settings::{ForwardingSettings, Settings},
+    reload::CurrentSettings,
+    settings::ForwardingSettings,
     stop::{LeaveWish, Signals},
 };
 
@@ -65,9 +66,10 @@
     ///
     /// A [`StartError`] when an address cannot be had.
     pub async fn start(
-        settings: Settings,
+        current: CurrentSettings,
         forwarding: ForwardingSettings,
     ) -> Result<Self, StartError> {
+        let settings = Arc::clone(&current.borrow());
         let signals = Signals::listen().map_err(StartError::Signals)?;
         let (socket, listener) = bind_sibling(settings.listen.sibling).await?;
         let socket = Arc::new(socket);
@@ -139,7 +141,7 @@
                 admin: addresses.admin,
                 relay,
             },
-            seeds: settings.seeds.clone(),
+            current: current.clone(),
             directory: Arc::new(PlatformDirectory::new(StoreClient::new(&settings.platform))),
             sink,
             views,
@@ -149,8 +151,7 @@
         });
         tokio::spawn(follow.run(Arc::clone(&wish.control)));
         let leave = Arc::clone(&wish.admin);
-        let stop = Stop { settle: settings.stop.settle, grace: forwarding.grace };
-        let stopped = tokio::spawn(stop.run(wish, signals, front));
+        let stopped = tokio::spawn(stop(current, forwarding.grace, wish, signals, front));
         Ok(Self { addresses, leave, stopped })
     }
 
@@ -186,30 +187,29 @@
     Ok(addr)
 }
 
-/// The planned stop: leave the balancer's view, accept no more, finish.
-struct Stop {
-    /// How long the node goes on accepting, so that the balancer sees that
-    /// it is not ready.
-    settle: Duration,
-    /// When the process is ended from outside.
+/// The planned stop: leave the balancer's view, accept no more, finish. The
+/// process is ended from outside after `grace`.
+async fn stop(
+    current: CurrentSettings,
     grace: Duration,
-}
-
-impl Stop {
-    async fn run(self, wish: LeaveWish, mut signals: Signals, front: ForwardedFront) {
-        tokio::select! {
-            () = signals.next() => log::info!(target: "node", "Told to leave by a signal."),
-            () = wish.admin.notified() => log::info!(target: "node", "Told to leave by an operator."),
-        }
-        wish.control.notify_one();
-        sleep(self.settle).await;
-        log::info!(target: "node", "Accepts no more.");
-        front.close();
-        let rest = self.grace.saturating_sub(self.settle + EXIT_MARGIN);
-        if timeout(rest, front.in_flight().idle()).await.is_err() {
-            let open = front.in_flight().count();
-            log::warn!(target: "node", "The grace period ends with {open} connections open.");
-        }
-        log::info!(target: "node", "Stopped.");
+    wish: LeaveWish,
+    mut signals: Signals,
+    front: ForwardedFront,
+) {
+    tokio::select! {
+        () = signals.next() => log::info!(target: "node", "Told to leave by a signal."),
+        () = wish.admin.notified() => log::info!(target: "node", "Told to leave by an operator."),
+    }
+    wish.control.notify_one();
+    let settings = Arc::clone(&current.borrow());
+    let grace = settings.forwarding.map_or(grace, |forwarding| forwarding.grace);
+    sleep(settings.stop.settle).await;
+    log::info!(target: "node", "Accepts no more.");
+    front.close();
+    let rest = grace.saturating_sub(settings.stop.settle + EXIT_MARGIN);
+    if timeout(rest, front.in_flight().idle()).await.is_err() {
+        let open = front.in_flight().count();
+        log::warn!(target: "node", "The grace period ends with {open} connections open.");
     }
+    log::info!(target: "node", "Stopped.");
 }
--- a/crates/endivevale/src/main.rs
+++ b/crates/endivevale/src/main.rs
@@ -11,6 +11,7 @@
     Instance, StartError,
     forwarding::ForwardingInstance,
     logs,
+    reload::{self, CurrentSettings},
     settings::{ForwardingSettings, Settings},
 };
 
@@ -35,8 +36,8 @@
 
 fn main() -> ExitCode {
     let args = args().run();
-    let settings = match read_settings(&args.settings) {
-        Ok(settings) => settings,
+    let (text, settings) = match read_settings(&args.settings) {
+        Ok(read) => read,
         Err(message) => {
             eprintln!("{message}");
             return ExitCode::from(EXIT_FAULTY);
@@ -59,21 +60,31 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    runtime.block_on(run(settings))
+    runtime.block_on(run(args.settings, text, settings))
 }
 
-fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
+fn read_settings(path: &std::path::Path) -> Result<(String, Settings), String> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-    Settings::parse(&file, &text).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })
+    match Settings::parse(&file, &text) {
+        Ok(settings) => Ok((text, settings)),
+        Err(faults) => {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            Err(lines.join("\n"))
+        }
+    }
 }
 
-async fn run(settings: Settings) -> ExitCode {
+async fn run(path: PathBuf, text: String, settings: Settings) -> ExitCode {
+    let current = match reload::follow(path, text, settings.clone()) {
+        Ok(current) => current,
+        Err(e) => {
+            eprintln!("signals: {e}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     let ended = match settings.forwarding {
-        Some(forwarding) => run_forwarding(settings, forwarding).await,
+        Some(forwarding) => run_forwarding(current, forwarding).await,
         None => run_queries(settings).await,
     };
     match ended {
@@ -95,10 +106,10 @@
 
 /// Forwards routed requests until the planned stop.
 async fn run_forwarding(
-    settings: Settings,
+    current: CurrentSettings,
     forwarding: ForwardingSettings,
 ) -> Result<(), StartError> {
-    let instance = ForwardingInstance::start(settings, forwarding).await?;
+    let instance = ForwardingInstance::start(current, forwarding).await?;
     println!("{}", instance.addresses().to_json());
     instance.stopped().await;
     Ok(())
