Let lapsed be a state that siblings follow; fresh instances ask seeds first

A slow reader also took its own pace for an outage.

Change: lapsed is a state in the list, which each instance ends by itself; an outage needs a call that failed; waits grow with up to 40 places in the order and pauses with failures; a fresh instance asks the seeds and reads by itself only after a while, or when nobody listens there; a seed that is asked by one who is not listed reads the instances again.

Ruled out: larger datagrams (the changes of a state are told by name now).

--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -17,6 +17,7 @@
 //! let me = InstanceName::try_new("entry-1").unwrap();
 //! let now = Instant::now();
 //! let mut schedule = ReadSchedule::new(me, now);
+//! schedule.read_now(now);
 //! assert_eq!(schedule.due(), now);
 //! schedule.note_read(now);
 //! assert_eq!(schedule.due(), now + READ_INTERVAL);
@@ -37,13 +38,20 @@
 pub const READ_STEP: Duration = Duration::from_millis(150);
 
 /// The position in the order from which the wait grows no more.
-const MAX_POSITION: u32 = 8;
+const MAX_POSITION: u32 = 40;
+
+/// How long a fresh instance waits for its siblings to tell it everything
+/// before it reads by itself.
+pub const FRESH_WAIT: Duration = Duration::from_millis(2000);
+
+/// By how much that wait differs between instances at most.
+const FRESH_SPREAD: Duration = Duration::from_millis(600);
 
 /// The pause after the first read that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
 /// The longest pause after reads that failed.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(3000);
 
 /// When the next read is due.
 #[derive(Debug)]
@@ -60,10 +68,19 @@
 }
 
 impl ReadSchedule {
-    /// A schedule on which the first read is due at once.
+    /// A schedule on which siblings have a while to tell what they know
+    /// before the first read is due.
     #[must_use]
-    pub const fn new(me: InstanceName, now: Instant) -> Self {
-        Self { me, position: 0, read_at: None, paused_until: now, pause: FIRST_PAUSE }
+    pub fn new(me: InstanceName, now: Instant) -> Self {
+        let spread = FRESH_SPREAD.mul_f64(weight(&me) as f64 / u64::MAX as f64);
+        let paused_until = now + FRESH_WAIT + spread;
+        Self { me, position: 0, read_at: None, paused_until, pause: FIRST_PAUSE }
+    }
+
+    /// Makes a read due at once, since nobody else reads.
+    pub fn read_now(&mut self, now: Instant) {
+        self.read_at = None;
+        self.paused_until = now;
     }
 
     /// Follows the instances of the tier, from whose names the order comes.
@@ -88,7 +105,7 @@
 
     /// This instance's own read failed.
     pub fn failed(&mut self, now: Instant) {
-        self.paused_until = now + self.pause;
+        self.paused_until = now + self.pause + READ_STEP * self.position;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -3,7 +3,9 @@
 //! An entry that disappears normally means that its searcher is leaving. While
 //! the store cannot be reached, entries also disappear because their searchers
 //! could not renew them. Such an entry comes back soon after the store does,
-//! so its disappearance is believed only after [`LAPSE_GRACE`].
+//! so its searcher counts as [`SearcherState::Lapsed`] and is gone only after
+//! [`LAPSE_GRACE`]. The state is part of the list that siblings follow, and
+//! each of them ends it by itself.
 //!
 //! The roster also follows lists that siblings read, so that an instance that
 //! was cut off from the store resumes from what the others know.
@@ -35,8 +37,9 @@
     name::SearcherName,
 };
 
-/// Without an answer of the store for this long, it counts as having been
-/// away. An entry lapses after three missed renewals, which take longer.
+/// Without an answer of the store for this long, after a call that failed,
+/// the store counts as having been away. An entry lapses after three missed
+/// renewals, which take longer.
 pub const AWAY_AFTER: Duration = Duration::from_millis(2000);
 
 /// How long after the store's return a missing entry is kept.
@@ -49,6 +52,8 @@
     Written(SearcherRecord),
     /// An entry was removed.
     Removed(SearcherName),
+    /// Only the state of an entry changed.
+    Marked(SearcherName, SearcherState),
     /// An entry was written that names no searcher to use.
     Unusable(SearcherName),
 }
@@ -75,19 +80,40 @@
         let written = new.searchers.iter().filter(|r| before.get(&r.name) != Some(r));
         let removed = old.searchers.iter().filter(|r| !after.contains(&r.name));
         let changes = written
-            .map(|r| Change::Written(r.clone()))
+            .map(|r| change_to(before.get(&r.name).copied(), r))
             .chain(removed.map(|r| Change::Removed(r.name.clone())));
         Self { since: old.version, changes: changes.collect() }
     }
 }
 
+/// The shortest change that leads from one record to another.
+fn change_to(old: Option<&SearcherRecord>, new: &SearcherRecord) -> Change {
+    let is_marked =
+        old.is_some_and(|old| SearcherRecord { state: new.state, ..old.clone() } == *new);
+    if is_marked {
+        Change::Marked(new.name.clone(), new.state)
+    } else {
+        Change::Written(new.clone())
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     record: SearcherRecord,
     /// Until when the entry is kept although the store no longer has it.
+    /// Invariant: present exactly while the state is
+    /// [`SearcherState::Lapsed`].
     kept_until: Option<Instant>,
 }
 
+impl Entry {
+    /// An entry as a sibling tells it at this time.
+    fn told(record: SearcherRecord, now: Instant) -> Self {
+        let is_lapsed = record.state == SearcherState::Lapsed;
+        Self { record, kept_until: is_lapsed.then(|| now + LAPSE_GRACE) }
+    }
+}
+
 /// The searchers that can be used, and the revision up to which that holds.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -101,6 +127,8 @@
     version: u64,
     /// When the store last answered this instance or a sibling.
     answered: Option<Instant>,
+    /// Whether a call of this instance failed since then.
+    has_failed: bool,
     /// When the store last came back after having been away.
     returned: Option<Instant>,
 }
@@ -127,12 +155,18 @@
 
     /// The store answered, whatever it said.
     pub fn note_answer(&mut self, now: Instant) {
-        let was_away =
+        let is_long =
             self.answered.is_some_and(|at| now.saturating_duration_since(at) >= AWAY_AFTER);
-        if was_away {
+        if is_long && self.has_failed {
             self.returned = Some(now);
         }
         self.answered = Some(now);
+        self.has_failed = false;
+    }
+
+    /// A call of this instance failed.
+    pub fn note_failure(&mut self) {
+        self.has_failed = true;
     }
 
     /// Takes in a whole list. Returns whether the content changed.
@@ -168,6 +202,7 @@
             is_changed |= match change {
                 Change::Written(record) => self.write(record),
                 Change::Removed(name) => self.remove(&name, now),
+                Change::Marked(name, state) => self.mark(&name, state, now),
                 Change::Unusable(name) => self.entries.remove(&name).is_some(),
             };
         }
@@ -209,8 +244,8 @@
         if listing.version <= self.version {
             return false;
         }
-        let kept = |record: &SearcherRecord| Entry { record: record.clone(), kept_until: None };
-        self.entries = listing.searchers.iter().map(|r| (r.name.clone(), kept(r))).collect();
+        let told = listing.searchers.iter().cloned();
+        self.entries = told.map(|r| (r.name.clone(), Entry::told(r, now))).collect();
         self.instances = listing.instances.clone();
         self.version = listing.version;
         self.revision = self.revision.max(revision).max(listing.version);
@@ -227,9 +262,12 @@
         for change in &delta.changes {
             match change {
                 Change::Written(record) => {
-                    let entry = Entry { record: record.clone(), kept_until: None };
+                    let entry = Entry::told(record.clone(), now);
                     self.entries.insert(record.name.clone(), entry);
                 }
+                Change::Marked(name, state) => {
+                    self.mark(name, *state, now);
+                }
                 Change::Removed(name) | Change::Unusable(name) => {
                     self.entries.remove(name);
                 }
@@ -276,14 +314,25 @@
         is_changed
     }
 
+    fn mark(&mut self, name: &SearcherName, state: SearcherState, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else { return false };
+        let is_changed = entry.record.state != state;
+        let record = SearcherRecord { state, ..entry.record.clone() };
+        *entry = Entry::told(record, now);
+        is_changed
+    }
+
     fn remove(&mut self, name: &SearcherName, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(name) else { return false };
         let until = self.returned.map(|at| at + LAPSE_GRACE).filter(|until| now < *until);
         match until {
             Some(until) if entry.record.state == SearcherState::Live => {
-                entry.kept_until.get_or_insert(until);
-                false
+                entry.record.state = SearcherState::Lapsed;
+                entry.kept_until = Some(until);
+                true
             }
+            // A whole list lacks it once more.
+            Some(_) if entry.record.state == SearcherState::Lapsed => false,
             _ => {
                 self.entries.remove(name);
                 true
--- a/crates/endivevale/src/forwarding/follow.rs
+++ b/crates/endivevale/src/forwarding/follow.rs
@@ -12,7 +12,7 @@
     membership::Heartbeat,
     name::InstanceName,
     node::{Node, Starting},
-    reader::ReadSchedule,
+    reader::{READ_INTERVAL, ReadSchedule},
     roster::{Delta, Roster},
     searcher::SearcherKey,
     share::FleetSize,
@@ -38,7 +38,10 @@
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(4);
 
 /// How often a fresh instance asks another seed.
-const SEED_INTERVAL: Duration = Duration::from_millis(400);
+const SEED_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time between two reads of the instances because of newcomers.
+const NEWCOMER_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How often the same changes are told, in case a datagram is lost.
 const DELTA_REPEATS: u32 = 2;
@@ -58,8 +61,11 @@
     /// What a sibling has above this instance's versions, and the revision
     /// up to which its list holds.
     Pulled(Pulled, u64),
-    /// A pull failed or was not needed any more.
-    NotPulled,
+    /// A pull failed; whether nobody listened there.
+    NotPulled {
+        /// Whether nobody listened there.
+        is_down: bool,
+    },
 }
 
 /// What one read of the store brought.
@@ -102,6 +108,10 @@
     is_pulling: bool,
     /// Whether the store answered the last read.
     is_store_up: bool,
+    /// Pulls from seeds at which nobody listened.
+    seeds_down: usize,
+    /// When the instances were last read because of a newcomer.
+    looked_at: Option<Instant>,
     /// The list that siblings were last told of.
     told: Arc<Listing>,
     /// The changes that led to it, and how often they are still told.
@@ -156,6 +166,8 @@
             is_reading: false,
             is_pulling: false,
             is_store_up: true,
+            seeds_down: 0,
+            looked_at: None,
             told: Arc::default(),
             delta: (Delta::default(), 0),
             built: None,
@@ -165,7 +177,9 @@
     /// Runs until the node's process ends.
     pub(crate) async fn run(mut self, leave: Arc<Notify>) {
         tokio::spawn(register(Arc::clone(&self.directory), self.me.clone()));
+        self.begin_reading();
         let socket = Arc::clone(&self.socket);
+        let siblings = Arc::clone(socket.siblings());
         let mut instances = interval(INSTANCES_INTERVAL);
         let mut seeds = interval(SEED_INTERVAL);
         loop {
@@ -177,6 +191,7 @@
                 () = leave.notified() => self.life.leave(),
                 () = sleep_until(due), if !self.is_reading => self.read(),
                 _ = instances.tick() => self.read_instances(due),
+                () = siblings.stranger() => self.look_for_newcomers(),
                 _ = seeds.tick(), if is_fresh => self.ask_seed(),
             }
         }
@@ -185,6 +200,7 @@
     /// Reads the store, on behalf of all.
     fn read(&mut self) {
         self.is_reading = true;
+        log::debug!(target: "platform", "Reads the store after {}.", self.roster.revision());
         let directory = Arc::clone(&self.directory);
         let (config, searchers) = (self.config_revision, self.roster.revision());
         let is_whole = self.needs_list || searchers == 0;
@@ -195,13 +211,26 @@
         });
     }
 
+    /// Reads the instances soon, since one that is not listed has asked.
+    fn look_for_newcomers(&mut self) {
+        let now = Instant::now();
+        if self.looked_at.is_none_or(|at| now.duration_since(at) >= NEWCOMER_INTERVAL) {
+            self.looked_at = Some(now);
+            self.spawn_instances_read();
+        }
+    }
+
     /// Reads the instances, if this instance reads on behalf of all or knows
     /// none.
     fn read_instances(&self, due: Instant) {
-        let reads_for_all = due <= Instant::now() + endivevale_core::reader::READ_INTERVAL;
-        if !reads_for_all && !self.roster.instances().is_empty() {
+        let reads_for_all = due <= Instant::now() + READ_INTERVAL;
+        if !reads_for_all || self.roster.version() == 0 {
             return;
         }
+        self.spawn_instances_read();
+    }
+
+    fn spawn_instances_read(&self) {
         let (directory, reports) = (Arc::clone(&self.directory), self.reports.clone());
         tokio::spawn(async move {
             let instances = directory.list_instances().await;
@@ -211,8 +240,7 @@
 
     /// Asks another seed each time, in case one is gone.
     fn ask_seed(&mut self) {
-        let mut seeds = self.current.borrow().seeds.clone();
-        seeds.retain(|addr| *addr != self.me.sibling);
+        let seeds = self.other_seeds();
         if seeds.is_empty() {
             return;
         }
@@ -221,6 +249,22 @@
         self.pull(addr, 0);
     }
 
+    /// The seeds, without this instance.
+    fn other_seeds(&self) -> Vec<SocketAddr> {
+        let mut seeds = self.current.borrow().seeds.clone();
+        seeds.retain(|addr| *addr != self.me.sibling);
+        seeds
+    }
+
+    /// Reads at once where siblings would wait for this instance: at a seed,
+    /// and where there is none.
+    fn begin_reading(&mut self) {
+        let seeds = self.current.borrow().seeds.clone();
+        if seeds.is_empty() || seeds.contains(&self.me.sibling) {
+            self.schedule.read_now(Instant::now());
+        }
+    }
+
     fn pull(&mut self, addr: SocketAddr, revision: u64) {
         if std::mem::replace(&mut self.is_pulling, true) {
             return;
@@ -232,7 +276,7 @@
                 Ok(pulled) => Report::Pulled(pulled, revision),
                 Err(e) => {
                     log::debug!(target: "sibling", "Nothing from {addr}: {e}.");
-                    Report::NotPulled
+                    Report::NotPulled { is_down: e.is_down() }
                 }
             };
             report(&reports, pulled).await;
@@ -274,7 +318,7 @@
                 log::debug!(target: "platform", "The instances could not be read: {e}.");
             }
             Report::Pulled(pulled, revision) => self.take_pulled(pulled, revision),
-            Report::NotPulled => self.is_pulling = false,
+            Report::NotPulled { is_down } => self.take_no_pull(is_down),
         }
     }
 
@@ -298,6 +342,9 @@
             }
         }
         self.roster.expire(now);
+        if self.roster.instances().is_empty() {
+            self.spawn_instances_read();
+        }
         self.schedule.succeeded(now);
         self.refresh("the store");
         let beat = self.heartbeat();
@@ -316,9 +363,22 @@
         if std::mem::replace(&mut self.is_store_up, false) {
             log::warn!(target: "platform", "The store does not answer: {e}.");
         }
+        self.roster.note_failure();
         self.schedule.failed(now);
     }
 
+    /// A fresh instance whose seeds are all down reads by itself.
+    fn take_no_pull(&mut self, is_down: bool) {
+        self.is_pulling = false;
+        if !is_down || self.roster.version() > 0 {
+            return;
+        }
+        self.seeds_down += 1;
+        if self.seeds_down == self.other_seeds().len() {
+            self.schedule.read_now(Instant::now());
+        }
+    }
+
     fn take_pulled(&mut self, pulled: Pulled, revision: u64) {
         self.is_pulling = false;
         let now = Instant::now();
