--- a/crates/core/src/forward/leg.rs
+++ b/crates/core/src/forward/leg.rs
@@ -44,6 +44,10 @@
 /// time, in usual durations.
 const START_MARGIN: f64 = 1.5;
 
+/// An exchange that was given up counts against its searcher after this many
+/// usual durations.
+const SUSPECT_AFTER: u32 = 2;
+
 /// How a searcher is ejected after exchanges with it were given up.
 const SLOW_EJECTION: Duration = Duration::from_millis(200);
 
@@ -151,7 +155,9 @@
                 () = &mut hedge, if may_hedge => {
                     may_hedge = false;
                     if let Some(last) = self.tried.last() {
-                        last.pulse().pass_over(PAUSE_SPAN);
+                        if !last.pulse().was_heard_since(began) {
+                            last.pulse().pass_over(PAUSE_SPAN);
+                        }
                         self.note(Some(last), Event::Slow);
                     }
                     if let Some(next) = self.hedge() {
@@ -458,7 +464,11 @@
             self.searcher.record_given_up(elapsed);
             self.searcher.standing().record_given_up(elapsed, self.usual.get());
             self.searcher.adapt_limit();
-            self.searcher.suspect(SLOW_EJECTION);
+            // One that was cancelled soon says nothing of its searcher.
+            let is_long = elapsed > self.usual.get() * SUSPECT_AFTER;
+            if is_long && !self.searcher.pulse().was_heard_since(self.began) {
+                self.searcher.suspect(SLOW_EJECTION);
+            }
         }
     }
 }
--- a/crates/core/src/pulse.rs
+++ b/crates/core/src/pulse.rs
@@ -34,6 +34,8 @@
     /// Since when nothing was heard although something is open, in
     /// microseconds since `born`.
     quiet_since_us: AtomicU64,
+    /// When a reply was last heard, in microseconds since `born`; 0 if never.
+    heard_us: AtomicU64,
     /// Until when first attempts go elsewhere, in microseconds since `born`.
     passed_over_until_us: AtomicU64,
 }
@@ -52,6 +54,7 @@
             born: Instant::now(),
             open: AtomicU32::new(0),
             quiet_since_us: AtomicU64::new(0),
+            heard_us: AtomicU64::new(0),
             passed_over_until_us: AtomicU64::new(0),
         }
     }
@@ -69,7 +72,9 @@
 
     /// An exchange ended with a reply, whatever it said.
     pub fn hear(&self) {
-        self.quiet_since_us.store(self.now_us(), Ordering::Release);
+        let now = self.now_us();
+        self.quiet_since_us.store(now, Ordering::Release);
+        self.heard_us.store(now, Ordering::Release);
         self.passed_over_until_us.store(0, Ordering::Release);
         self.open.fetch_sub(1, Ordering::AcqRel);
     }
@@ -79,6 +84,15 @@
         self.open.fetch_sub(1, Ordering::AcqRel);
     }
 
+    /// Whether any reply was heard since this time. A searcher that answers
+    /// others does not pause; it only takes long over one request.
+    #[must_use]
+    pub fn was_heard_since(&self, at: Instant) -> bool {
+        let at_us = at.saturating_duration_since(self.born).as_micros() as u64;
+        let heard_us = self.heard_us.load(Ordering::Acquire);
+        heard_us > 0 && heard_us >= at_us
+    }
+
     /// Sends first attempts elsewhere for `span` or until a reply comes.
     pub fn pass_over(&self, span: Duration) {
         let until = self.now_us() + span.as_micros() as u64;
--- a/crates/endivevale/src/reload.rs
+++ b/crates/endivevale/src/reload.rs
@@ -41,6 +41,12 @@
 ) {
     let mut looks = interval(LOOK_INTERVAL);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    if !is_file(&path).await {
+        log::info!(target: "node", "The settings are in no file and are not read again.");
+        loop {
+            hangup.recv().await;
+        }
+    }
     loop {
         tokio::select! {
             _ = hangup.recv() => log::info!(target: "node", "Told by a signal to read the settings again."),
@@ -57,6 +63,10 @@
     }
 }
 
+async fn is_file(path: &std::path::Path) -> bool {
+    tokio::fs::metadata(path).await.is_ok_and(|found| found.is_file())
+}
+
 fn take(path: &std::path::Path, text: &str, tx: &watch::Sender<Arc<Settings>>) {
     match Settings::parse(&path.display().to_string(), text) {
         Ok(settings) => {
