--- a/crates/core/src/forward/hedge.rs
+++ b/crates/core/src/forward/hedge.rs
@@ -5,11 +5,11 @@
 use crate::{quantile::Quantile, route::Route};
 
 /// A second attempt waits at least this part of the latency objective.
-const MIN_PART: u32 = 8;
+const MIN_PART: f64 = 0.125;
 
 /// A second attempt waits at most this part of the latency objective, so that
 /// it has time to answer.
-const MAX_PART: u32 = 3;
+const MAX_PART: f64 = 0.4;
 
 /// The delays of second attempts on one route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,8 +25,8 @@
         if !route.is_idempotent || route.max_attempts < 2 {
             return Self { delay: None };
         }
-        let least = route.objective / MIN_PART;
-        let most = route.objective / MAX_PART;
+        let least = route.objective.mul_f64(MIN_PART);
+        let most = route.objective.mul_f64(MAX_PART);
         Self { delay: Some(latency.get().clamp(least, most)) }
     }
 
