--- a/crates/core/src/forward/gather.rs
+++ b/crates/core/src/forward/gather.rs
@@ -82,7 +82,12 @@
     fn begin(&mut self, plan: Option<&Plan>) {
         for place in 0..self.shards.len() {
             match plan {
-                Some(plan) if plan.places.contains(&place) => self.parts.begin_relay(place),
+                Some(plan) if plan.places.contains(&place) => {
+                    if let Some(service) = self.shards[place] {
+                        leg::count_first(service);
+                    }
+                    self.parts.begin_relay(place);
+                }
                 _ => self.ask(place, Before::Nothing),
             }
         }
@@ -169,7 +174,7 @@
                 }
                 for at in answer.unasked {
                     if let Some(place) = plan.places.get(usize::from(at)) {
-                        self.end_relay(*place, Before::Nothing);
+                        self.end_relay(*place, Before::Unasked);
                     }
                 }
             }
@@ -177,7 +182,7 @@
                 for place in plan.places.iter().copied() {
                     let before = match may_have_run {
                         true => Before::AttemptIn(plan.sibling.zone().clone()),
-                        false => Before::Nothing,
+                        false => Before::Unasked,
                     };
                     self.end_relay(place, before);
                 }
@@ -187,7 +192,7 @@
 
     /// The sibling does no more for a shard; nobody else may work on it.
     fn end_relay(&mut self, place: usize, before: Before) {
-        if self.parts.end_relay(place, before != Before::Nothing) {
+        if self.parts.end_relay(place, before != Before::Unasked) {
             self.ask(place, before);
         }
     }
--- a/crates/core/src/forward/leg.rs
+++ b/crates/core/src/forward/leg.rs
@@ -89,10 +89,19 @@
 pub(super) enum Before {
     /// No searcher was asked.
     Nothing,
+    /// A sibling was to ask and did not; the attempt counts as made already.
+    Unasked,
     /// A sibling asked a searcher in this zone, without success.
     AttemptIn(ZoneName),
 }
 
+/// Counts the first attempt of a shard, by whomever it is made. The instance
+/// that would make the second one earns its share of the budget.
+pub(super) fn count_first(service: &ServiceView) {
+    service.state().budget.deposit();
+    service.state().legs.needed.inc();
+}
+
 /// Asks one service.
 pub(super) async fn ask<C: Carrier>(
     cx: &Context<'_, C>,
@@ -107,15 +116,15 @@
     service: Option<&Arc<ServiceView>>,
     before: Before,
 ) -> Result<Reply<C::ReplyHead>, Miss<C::ReplyHead>> {
+    let has_arrived = matches!(before, Before::AttemptIn(_));
     let mut evidence = Evidence::default();
-    if before != Before::Nothing {
+    if has_arrived {
         evidence.may_have_run();
     }
     let Some(service) = service else {
-        let has_arrived = before != Before::Nothing;
         return Err(Miss { failure: None, evidence, has_arrived });
     };
-    let arrivals = u32::from(before != Before::Nothing);
+    let arrivals = u32::from(has_arrived);
     let leg =
         Leg { cx, service, before, tried: Vec::new(), arrivals, open: 0, evidence, failure: None };
     leg.run().await
@@ -132,8 +141,8 @@
                 return Err(self.into_miss());
             }
         }
-        let is_first = self.before == Before::Nothing;
-        let hedge_at = self.cx.hedge.delay().filter(|_| is_first).map(|delay| began + delay);
+        let is_second = matches!(self.before, Before::AttemptIn(_));
+        let hedge_at = self.cx.hedge.delay().filter(|_| !is_second).map(|delay| began + delay);
         let hedge = sleep_until(hedge_at.unwrap_or(self.cx.by));
         tokio::pin!(hedge);
         let mut may_hedge = hedge_at.is_some();
@@ -207,10 +216,13 @@
     /// second attempt, which draws on the budget.
     fn first(&mut self) -> Option<Arc<Searcher>> {
         let state = self.service.state();
-        if self.before == Before::Nothing {
-            state.budget.deposit();
-            state.legs.needed.inc();
-            return self.choose();
+        match self.before {
+            Before::Nothing => {
+                count_first(self.service);
+                return self.choose();
+            }
+            Before::Unasked => return self.choose(),
+            Before::AttemptIn(_) => {}
         }
         if !self.may_arrive_again() {
             return None;
--- a/crates/core/src/forward/relay.rs
+++ b/crates/core/src/forward/relay.rs
@@ -17,7 +17,11 @@
 use futures::stream::{FuturesUnordered, Stream, StreamExt, unfold};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::{Carrier, Context, HedgePlan, Reply, leg, trace::Trace};
+use super::{
+    Carrier, Context, HedgePlan, Reply,
+    leg::{self, Before},
+    trace::Trace,
+};
 use crate::{
     id::RequestId,
     intent::Rank,
@@ -348,10 +352,10 @@
     merge_until: Instant,
     sink: &mut S,
 ) {
-    let legs =
-        ask.shards.iter().enumerate().map(|(place, name)| async move {
-            (place as u16, leg::ask(cx, view.service(name)).await)
-        });
+    let legs = ask.shards.iter().enumerate().map(|(place, name)| async move {
+        // The asker has counted this attempt.
+        (place as u16, leg::ask_after(cx, view.service(name), Before::Unasked).await)
+    });
     let mut legs: FuturesUnordered<_> = legs.collect();
     let mut answer = RelayAnswer::default();
     let mut bodies = Vec::with_capacity(ask.shards.len());
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -91,7 +91,13 @@
 
 /// Two shards with a searcher in the own zone and two without.
 fn sim() -> Sim {
+    sim_with(20.0)
+}
+
+/// The same with an allowance of second attempts beyond their share.
+fn sim_with(allowance: f64) -> Sim {
     let mut sim = Sim::new();
+    sim.allowance = allowance;
     for (shard, zones) in
         [("s0", ["a", "b"]), ("s1", ["a", "b"]), ("s2", ["b", "c"]), ("s3", ["b", "c"])]
     {
@@ -225,3 +231,18 @@
     assert_eq!(unasked, [1]);
     assert_eq!(sim.carrier.arrivals(), 1);
 }
+
+/// Pattern: a zone lacks some shards, so all their first attempts are made by
+/// siblings, and second attempts by this instance.
+#[tokio::test(start_paused = true)]
+async fn the_budget_for_second_attempts_grows_with_relayed_first_attempts() {
+    let sim = sim_with(0.0);
+    let good = script(vec![Act::Parts(20 * MS, vec![0, 1], true)]);
+    let forwarder = sim.forwarder_with(good.clone());
+    for _ in 0..50 {
+        forwarder.forward(request("query")).await.unwrap();
+    }
+    *good.acts.lock().unwrap() = vec![Act::Hangs];
+    let answer = merged(forwarder.forward(request("query")).await);
+    assert_eq!((answer.signatures.len(), answer.missing), (4, 0));
+}
