--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -26,6 +26,7 @@
     view::{RouteState, ServiceView, View, ViewCell},
 };
 
+mod attempt;
 mod gather;
 mod hedge;
 mod leg;
--- a/crates/endivevale/src/forwarding/follow.rs
+++ b/crates/endivevale/src/forwarding/follow.rs
@@ -24,14 +24,13 @@
     heartbeat::HeartbeatSocket,
     wire::{Pull, Pulled},
 };
-use endivevale_store::directory::{
-    ConfigRead, Directory, DirectoryError, SearcherChanges, SearcherList,
-};
+use endivevale_store::directory::{Directory, DirectoryError};
 use tokio::{
     sync::{Notify, mpsc},
-    time::{Duration, Instant, interval, sleep, sleep_until},
+    time::{Duration, Instant, interval, sleep_until},
 };
 
+use super::read::{Read, Report, Searchers, read, register, report};
 use crate::{feeds::Sink, life::Life, reload::CurrentSettings};
 
 /// How often the instances of the tier are read.
@@ -46,39 +45,9 @@
 /// How often the same changes are told, in case a datagram is lost.
 const DELTA_REPEATS: u32 = 2;
 
-/// The pause between two tries to register.
-const REGISTER_PAUSE: Duration = Duration::from_millis(700);
-
 /// Reports that wait for the control task.
 const REPORTS: usize = 64;
 
-/// What a task reports back.
-enum Report {
-    /// A read of the store.
-    Read(Result<Read, DirectoryError>),
-    /// A read of the instances.
-    Instances(Result<Vec<InstanceRecord>, DirectoryError>),
-    /// What a sibling has above this instance's versions, and the revision
-    /// up to which its list holds.
-    Pulled(Pulled, u64),
-    /// A pull failed; whether nobody listened there.
-    NotPulled {
-        /// Whether nobody listened there.
-        is_down: bool,
-    },
-}
-
-/// What one read of the store brought.
-struct Read {
-    config: ConfigRead,
-    searchers: Searchers,
-}
-
-enum Searchers {
-    List(SearcherList),
-    Changes(SearcherChanges),
-}
-
 /// The control task and what it owns.
 pub(crate) struct Follow<D> {
     me: InstanceRecord,
@@ -498,41 +467,3 @@
         listing.searchers.len(),
     );
 }
-
-/// Tells the control task; it ends only with the process.
-async fn report(reports: &mpsc::Sender<Report>, report: Report) {
-    if reports.send(report).await.is_err() {
-        log::debug!(target: "node", "The control task has ended.");
-    }
-}
-
-/// Reads what has changed of both, or all of what no revision is known.
-async fn read<D: Directory>(
-    directory: &D,
-    config: u64,
-    searchers: u64,
-    is_whole: bool,
-) -> Result<Read, DirectoryError> {
-    let config = async {
-        match config {
-            0 => directory.read_config().await,
-            after => directory.watch_config(after, Duration::from_millis(1)).await,
-        }
-    };
-    let searchers = async {
-        match is_whole {
-            true => directory.list_searchers().await.map(Searchers::List),
-            false => directory.searcher_changes(searchers).await.map(Searchers::Changes),
-        }
-    };
-    let (config, searchers) = tokio::join!(config, searchers);
-    Ok(Read { config: config?, searchers: searchers? })
-}
-
-/// Writes this instance's own entry, however long the store is away.
-async fn register<D: Directory>(directory: Arc<D>, me: InstanceRecord) {
-    while let Err(e) = directory.register(&me).await {
-        log::warn!(target: "platform", "This instance is not registered yet: {e}.");
-        sleep(REGISTER_PAUSE).await;
-    }
-}
