--- a/crates/endivevale/src/forwarding/mod.rs
+++ b/crates/endivevale/src/forwarding/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! | module | what it does |
 //! |---|---|
-//! | [`follow`] | turns what the store and the siblings say into views |
-//! | [`read`] | reads the store and reports |
-//! | [`instance`] | binds, wires and stops the node |
+//! | `follow` | turns what the store and the siblings say into views |
+//! | `read` | reads the store and reports |
+//! | `instance` | binds, wires and stops the node |
 
 mod follow;
 mod instance;
