--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use endivevale_core::{forward::Outbound, route::Route};
+use endivevale_core::{budget::Budget, forward::Outbound, intent::AttemptAllowance, route::Route};
 use tokio::{
     task::JoinSet,
     time::{Instant, interval},
@@ -196,3 +196,32 @@
     let back = load(&sim, "single", 100, 20 * MS, 600 * MS).await;
     assert_eq!(back.in_time, 100, "{back:?}");
 }
+
+/// Pattern: after quiet minutes, every instance of a fleet spends all it has
+/// on one shard within a window.
+async fn most_extra_attempts(instances: u32, allowance: f64) -> f64 {
+    let window = Duration::from_secs(10);
+    let budgets: Vec<Budget> = (0..instances).map(|_| Budget::new(0.18)).collect();
+    for budget in &budgets {
+        budget.set_allowance(AttemptAllowance { count: allowance, window }, instances);
+        (0..1000).for_each(|_| budget.deposit());
+    }
+    tokio::time::advance(window * 6).await;
+    let mut spent = 0;
+    for _ in 0..100 {
+        spent += budgets.iter().map(|b| u32::from(b.try_withdraw())).sum::<u32>();
+        tokio::time::advance(window / 100).await;
+    }
+    f64::from(spent)
+}
+
+endivevale_cases::cases! {
+    async fn all_instances_together_stay_within_the_allowance(instances: u32, allowance: f64) {
+        let spent = most_extra_attempts(instances, allowance).await;
+        assert!(spent <= allowance, "{spent} of {allowance}");
+    }
+    one => (1, 58.0),
+    nine => (9, 58.0),
+    sixty_five => (65, 170.0),
+    eighty_seven => (87, 214.0),
+}
