Log how long a pull took, from whom and why it failed

Cause: a pull's failure stood at debug level only, and nothing said how long it took or how many bytes it brought, so the hypotheses about the late configurations could not be told apart.

--- a/crates/endivevale/src/forwarding/control/fetch.rs
+++ b/crates/endivevale/src/forwarding/control/fetch.rs
@@ -3,8 +3,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use endivevale_core::read_schedule::READ_INTERVAL;
-use endivevale_sibling::{state_sync, wire::StateRequest};
+use endivevale_core::{intent::ConfigVersion, read_schedule::READ_INTERVAL};
+use endivevale_sibling::{
+    state_sync::{self, ExchangeError},
+    wire::{StateReply, StateRequest},
+};
 use endivevale_store::registry::ServiceRegistry;
 use tokio::time::{Duration, Instant};
 
@@ -101,14 +104,43 @@
             StateRequest { config: self.sink.config.version(), listing: self.tracker.version() };
         let report_tx = self.report_tx.clone();
         tokio::spawn(async move {
-            let pulled = match state_sync::fetch_state(addr, known).await {
+            let started = Instant::now();
+            let fetched = state_sync::fetch_state(addr, known).await;
+            log_pull(addr, known, started.elapsed(), &fetched);
+            let report = match fetched {
                 Ok(pulled) => Report::Pulled(pulled, revision),
-                Err(e) => {
-                    log::debug!(target: "sibling", "Pull from sibling {addr} failed: {e}.");
-                    Report::PullFailed { is_unreachable: e.is_unreachable() }
-                }
+                Err(e) => Report::PullFailed { is_unreachable: e.is_unreachable() },
             };
-            send_report(&report_tx, pulled).await;
+            send_report(&report_tx, report).await;
         });
     }
 }
+
+/// Logs what a pull fetched or why it failed, and how long it took. A pull that
+/// fetched nothing is logged at debug level only, since a starting instance
+/// repeats it.
+fn log_pull(
+    addr: SocketAddr,
+    known: StateRequest,
+    took: Duration,
+    fetched: &Result<StateReply, ExchangeError>,
+) {
+    let (config, ms) = (known.config, took.as_millis());
+    match fetched {
+        Ok(StateReply { config: None, listing: None }) => log::debug!(
+            target: "sibling",
+            "Pull from sibling {addr} found nothing newer: config={config} ms={ms}."
+        ),
+        Ok(reply) => log::info!(
+            target: "sibling",
+            "Pull from sibling {addr} succeeded: config={config} new_config={} new_listing={} text_bytes={} ms={ms}.",
+            reply.config.as_ref().map_or(ConfigVersion::NONE, |(version, _)| *version),
+            reply.listing.as_ref().map_or(0, |listing| listing.version),
+            reply.config.as_ref().map_or(0, |(_, text)| text.len()),
+        ),
+        Err(e) => log::info!(
+            target: "sibling",
+            "Pull from sibling {addr} failed: config={config} ms={ms}: {e}."
+        ),
+    }
+}
