Count the transfers between siblings and their bytes

Cause: no metric said what a change of the configuration costs an instance. Change: endivevale_sibling_transfers_total with the kinds fetched, not_fetched, received_bytes, served and sent_bytes.

--- a/crates/endivevale/src/forwarding/control/fetch.rs
+++ b/crates/endivevale/src/forwarding/control/fetch.rs
@@ -102,10 +102,10 @@
         }
         let known =
             StateRequest { config: self.sink.config.version(), listing: self.tracker.version() };
-        let report_tx = self.report_tx.clone();
+        let (report_tx, counters) = (self.report_tx.clone(), Arc::clone(&self.transfer_counters));
         tokio::spawn(async move {
             let started = Instant::now();
-            let fetched = state_sync::fetch_state(addr, known).await;
+            let fetched = state_sync::fetch_state(addr, known, &counters).await;
             log_pull(addr, known, started.elapsed(), &fetched);
             let report = match fetched {
                 Ok(pulled) => Report::Pulled(pulled, revision),
--- a/crates/endivevale/src/forwarding/control/mod.rs
+++ b/crates/endivevale/src/forwarding/control/mod.rs
@@ -18,7 +18,7 @@
     view::{ViewBuilder, ViewCell},
 };
 use endivevale_searcher::IdleConnections;
-use endivevale_sibling::heartbeat::HeartbeatSocket;
+use endivevale_sibling::{heartbeat::HeartbeatSocket, transfer_counters::TransferCounters};
 use endivevale_store::registry::ServiceRegistry;
 use tokio::{
     sync::{Notify, mpsc},
@@ -70,6 +70,7 @@
     instances_seen: Arc<AtomicU32>,
     lifecycle: Lifecycle,
     socket: Arc<HeartbeatSocket>,
+    transfer_counters: Arc<TransferCounters>,
     report_tx: mpsc::Sender<Report>,
     report_rx: mpsc::Receiver<Report>,
     is_read_running: bool,
@@ -112,6 +113,7 @@
     pub(crate) instances_seen: Arc<AtomicU32>,
     pub(crate) lifecycle: InstanceLifecycle<Starting>,
     pub(crate) socket: Arc<HeartbeatSocket>,
+    pub(crate) transfer_counters: Arc<TransferCounters>,
 }
 
 impl<R: ServiceRegistry> ControlTask<R> {
@@ -136,6 +138,7 @@
             instances_seen: params.instances_seen,
             lifecycle: Lifecycle::Starting(params.lifecycle),
             socket: params.socket,
+            transfer_counters: params.transfer_counters,
             report_tx,
             report_rx,
             is_read_running: false,
--- a/crates/endivevale/src/forwarding/instance.rs
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -29,6 +29,7 @@
     heartbeat::SiblingAddrs,
     relay::{self, TcpRelayClient},
     state_sync::{self, StateRegisters},
+    transfer_counters::TransferCounters,
 };
 use endivevale_store::StoreClient;
 use tokio::{
@@ -42,7 +43,7 @@
     StartError,
     feeds::FeedSink,
     http_server,
-    instance::bind_sibling,
+    instance::{bind_sibling, sibling_counts},
     reload::CurrentSettings,
     running_instance::{Addresses, RunningInstance},
     settings::ForwardingSettings,
@@ -94,9 +95,9 @@
         .await
         .map_err(|e| StartError::Http(e.to_string()))?;
 
-    let drop_counters = Arc::clone(socket.drop_counters());
-    let exporter =
-        MetricsExporter::new(Arc::clone(&views), Arc::new(move || drop_counters.by_reason()));
+    let transfer_counters = Arc::<TransferCounters>::default();
+    let sibling_counts = sibling_counts(socket.drop_counters(), &transfer_counters);
+    let exporter = MetricsExporter::new(Arc::clone(&views), sibling_counts);
     let leave_request = LeaveRequest { control: Arc::default(), admin: Arc::default() };
     let instances_seen = Arc::<AtomicU32>::default();
     let admin_state = AdminState::new(AdminStateParams {
@@ -132,6 +133,7 @@
         registers,
         sibling_addrs,
         drop_counters,
+        Arc::clone(&transfer_counters),
     ));
     let control = ControlTask::new(ControlTaskParams {
         own_record: InstanceRecord {
@@ -150,6 +152,7 @@
         instances_seen,
         lifecycle,
         socket,
+        transfer_counters,
     });
     tokio::spawn(control.run(Arc::clone(&leave_request.control)));
     let leave_notify = Arc::clone(&leave_request.admin);
