Keep the limit of requests that a searcher names

What callers saw: nothing by themselves; a searcher in need got far more requests than it had named (LIMIT), which keeps it in need. Cause: no part read the header. Class: a fact about a searcher that its answers state, and that no decision uses. Change: core::named_limit divides the limit among few instances, those of the searcher's zone first, by rendezvous hashing, each with a rate limiter that is asked right before a request is sent, whatever its kind, and looked at when a searcher is chosen. An instance without a share sends one request from time to time, more rarely the more instances there are and the smaller the limit is. An answer without the limit ends it. A request that no searcher has room for is rejected at once, with the time until there is room. One log line when a limit begins or ends, the event limited in the request's line, a counter for each searcher.

--- a/crates/core/src/forward/attempt.rs
+++ b/crates/core/src/forward/attempt.rs
@@ -99,6 +99,11 @@
         record_event(cx, service, Some(&searcher), Event::LeavingOrExpired);
         return AttemptOutcome::NotRun(unsent.not_run(), false);
     }
+    if !searcher.named_limit().try_acquire() {
+        searcher.stats().limited.inc();
+        record_event(cx, service, Some(&searcher), Event::Limited);
+        return AttemptOutcome::NotRun(unsent.not_run(), false);
+    }
     service.state().sub_requests.sent.inc();
     let outcome = exchange(cx, service, &searcher, unsent, channel).await;
     drop::<Permit>(permit);
--- a/crates/core/src/forward/trace.rs
+++ b/crates/core/src/forward/trace.rs
@@ -44,6 +44,8 @@
     /// The searcher began to leave, or the deadline passed, before the request
     /// was sent.
     LeavingOrExpired,
+    /// The limit that the searcher names left no room for the attempt.
+    Limited,
     /// The searcher rejected the request without running it.
     Rejected(RejectionReason),
     /// The searcher ran the request and failed.
@@ -65,6 +67,7 @@
             Event::NotConnected(reason) => write!(f, "not_connected:{reason}"),
             Event::Unsent => f.write_str("not_sent"),
             Event::LeavingOrExpired => f.write_str("left"),
+            Event::Limited => f.write_str("limited"),
             Event::Rejected(reason) => write!(f, "refused:{reason}"),
             Event::Failed => f.write_str("failed"),
             Event::NoReply(reason) => write!(f, "lost:{reason}"),
--- a/crates/core/src/rate_limiter.rs
+++ b/crates/core/src/rate_limiter.rs
@@ -63,6 +63,24 @@
         self.burst_nanos.store(burst, Ordering::Release);
     }
 
+    /// Counts as many events as are allowed now.
+    pub fn use_up(&self) {
+        let now = self.created_at.elapsed().as_nanos() as u64;
+        let burst = self.burst_nanos.load(Ordering::Acquire);
+        self.arrival_nanos.fetch_max(now.saturating_add(burst), Ordering::AcqRel);
+    }
+
+    /// Returns how long it takes until an event is allowed; zero if one is
+    /// allowed now.
+    #[must_use]
+    pub fn time_to_next(&self) -> Duration {
+        let now = self.created_at.elapsed().as_nanos() as u64;
+        let interval = self.interval_nanos.load(Ordering::Acquire);
+        let burst = self.burst_nanos.load(Ordering::Acquire);
+        let next = self.arrival_nanos.load(Ordering::Acquire).max(now).saturating_add(interval);
+        Duration::from_nanos(next.saturating_sub(now.saturating_add(burst)))
+    }
+
     /// Counts one event if it is allowed now. Returns whether it is.
     pub fn try_acquire(&self) -> bool {
         let now = self.created_at.elapsed().as_nanos() as u64;
--- a/crates/core/src/searcher_choice.rs
+++ b/crates/core/src/searcher_choice.rs
@@ -56,7 +56,7 @@
 const SILENT_MIN: Duration = Duration::from_millis(30);
 
 /// Returns the searcher with the lowest cost among those that are neither
-/// leaving nor in `tried`.
+/// leaving nor in `tried`, and whose named limit leaves this instance room.
 #[must_use]
 pub fn choose_searcher(
     searchers: &[Arc<Searcher>],
@@ -66,7 +66,8 @@
     let mut rng = rand::rng();
     let mut best: Option<(f64, &Arc<Searcher>)> = None;
     for searcher in searchers {
-        if searcher.is_leaving() || tried.iter().any(|t| Arc::ptr_eq(t, searcher)) {
+        let is_usable = !searcher.is_leaving() && searcher.named_limit().has_room();
+        if !is_usable || tried.iter().any(|t| Arc::ptr_eq(t, searcher)) {
             continue;
         }
         let cost = cost(searcher, zone) + rng.random_range(0.0..RANDOM_COST_MAX);
--- a/crates/endivevale/src/forwarding/control/publish.rs
+++ b/crates/endivevale/src/forwarding/control/publish.rs
@@ -5,6 +5,7 @@
 use endivevale_core::{
     layout::{Listing, SearcherRecord, SearcherState},
     name::InstanceName,
+    named_limit::TierInstances,
     searcher::SearcherKey,
 };
 use endivevale_store::registry::ServiceRegistry;
@@ -32,7 +33,11 @@
         let listing = self.tracker.listing();
         log_listing_change(&listing, self.tracker.revision(), source, instances);
         let siblings = listing.instances.iter().filter(|i| i.name != self.own_record.name);
-        self.view_builder.set_siblings(siblings);
+        self.view_builder.set_siblings(siblings.clone());
+        self.view_builder.set_tier(TierInstances {
+            own: Some((self.own_record.name.clone(), self.own_record.zone.clone())),
+            others: siblings.map(|i| (i.name.clone(), i.zone.clone())).collect(),
+        });
         self.sink.apply_listing(&listing);
         self.publish(&listing.searchers, instances);
         self.last_inputs = Some(inputs);
