Answer every request before a planned stop ends the process

What callers saw (reported by other operators, reproduced here): in a planned stop of one instance, a request that was still with its searcher when the grace period ended got a closed connection and no answer, also one that must not be repeated (LOST). Cause: the deadline of a request did not know of the stop, only the process did. Class: two deadlines for one piece of work, of which the nearer one has no answer. Change: the stop sets a time before the process ends, and every request's deadline is at most that; what has no reply by then is answered with 504. Evidence: without the deadline both cases of a_request_that_outlasts_the_grace_period_is_answered fail (Disconnected); with it both pass. No new requests are taken after the settle time, as before.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -20,6 +20,7 @@
     attempt::NotRun,
     error::{ErrorKind, Execution, Failure},
     id::RequestId,
+    lifecycle::StopDeadline,
     name::{ServiceName, ZoneName},
     route::{Route, Target},
     searcher::Searcher,
@@ -197,6 +198,7 @@
     relay: R,
     zone: ZoneName,
     settings: ForwardSettings,
+    stop_deadline: StopDeadline,
     log_limiter: LogLimiter,
 }
 
@@ -226,7 +228,23 @@
         zone: ZoneName,
         settings: ForwardSettings,
     ) -> Self {
-        Self { views, transport, relay, zone, settings, log_limiter: LogLimiter::new() }
+        Self {
+            views,
+            transport,
+            relay,
+            zone,
+            settings,
+            stop_deadline: StopDeadline::default(),
+            log_limiter: LogLimiter::new(),
+        }
+    }
+
+    /// Answers each request before this time once it is set, so that no request
+    /// ends without an answer because the process does.
+    #[must_use]
+    pub fn with_stop_deadline(mut self, stop_deadline: StopDeadline) -> Self {
+        self.stop_deadline = stop_deadline;
+        self
     }
 
     /// Forwards a request and returns the reply for its caller.
@@ -257,6 +275,7 @@
         trace: &Trace,
     ) -> Result<ForwardReply<C::ReplyHead>, Failure> {
         let timeout = req.timeout.map_or(route.timeout, |t| t.min(route.timeout));
+        let deadline = req.received_at + timeout.saturating_sub(FINAL_MARGIN);
         let cx = Context {
             transport: &*self.transport,
             zone: &self.zone,
@@ -268,7 +287,7 @@
             trace,
             objective_deadline: req.received_at
                 + route.latency_objective.saturating_sub(self.settings.answer_margin),
-            deadline: req.received_at + timeout.saturating_sub(FINAL_MARGIN),
+            deadline: self.stop_deadline.get().map_or(deadline, |stop| stop.min(deadline)),
         };
         match &route.target {
             Target::Service(service) => single::forward(&cx, find_service(view, service)).await,
--- a/crates/endivevale/src/forwarding/instance.rs
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -16,7 +16,7 @@
 use endivevale_core::{
     forward::{Forwarder, RelayServer},
     layout::InstanceRecord,
-    lifecycle::InstanceLifecycle,
+    lifecycle::{InstanceLifecycle, StopDeadline},
     register,
     view::ViewCell,
 };
@@ -35,7 +35,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, mpsc},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use super::control::{ControlTask, ControlTaskParams};
@@ -54,6 +54,10 @@
 /// even if connections are still open.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before that the last answers are given, so that they are written
+/// before the process ends.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Starts the instance; it serves as soon as it has a configuration and a
 /// listing.
 ///
@@ -90,6 +94,8 @@
         settings.zone.clone(),
         forwarding.forward_settings(),
     );
+    let stop_deadline = StopDeadline::default();
+    let forwarder = forwarder.with_stop_deadline(stop_deadline.clone());
     let handler = Arc::new(PlatformRequestHandler::new(forwarder, Arc::clone(&views)));
     let forward_server = ForwardServer::listen(settings.listen.caller, handler, phase.clone())
         .await
@@ -162,6 +168,7 @@
     let stop_task = tokio::spawn(stop(
         current_settings,
         forwarding.grace,
+        stop_deadline,
         leave_request,
         signals,
         forward_server,
@@ -196,6 +203,7 @@
 async fn stop(
     current_settings: CurrentSettings,
     grace: Duration,
+    stop_deadline: StopDeadline,
     leave_request: LeaveRequest,
     mut signals: Signals,
     forward_server: ForwardServer,
@@ -213,6 +221,9 @@
     leave_request.control.notify_one();
     let settings = Arc::clone(&current_settings.borrow());
     let grace = settings.forwarding.map_or(grace, |forwarding| forwarding.grace);
+    if !stop_deadline.set(Instant::now() + grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN)) {
+        log::debug!(target: "node", "The deadline of the planned stop was set before.");
+    }
     sleep(settings.stop.settle).await;
     log::info!(
         target: "node",
--- a/crates/endivevale/tests/forwarding.rs
+++ b/crates/endivevale/tests/forwarding.rs
@@ -305,6 +305,35 @@
     assert!(deployment.instances[0].wait_for_exit(GRACE_PERIOD).await.unwrap());
 }
 
+// Guards against a closed connection without an answer: a request that came late
+// in the grace period was still with its searcher when the process ended.
+cases! {
+    fn a_request_that_outlasts_the_grace_period_is_answered(
+        path: &'static str, service: &'static str
+    ) {
+        tokio::runtime::Runtime::new().unwrap().block_on(async {
+            let mut deployment = Deployment::start(1).await;
+            let slow = 2 * GRACE_PERIOD;
+            let config = ConfigBuilder::new(2)
+                .services(&["s1", "s2", "desk"])
+                .route(RouteDeclaration::fan_out("sweep", &["s1", "s2"], 0.5).timeout(slow))
+                .route(RouteDeclaration::non_idempotent("orders", "desk").timeout(slow));
+            deployment.write_config(&config);
+            sleep(IN_FORCE_TIMEOUT).await;
+            deployment.set_behavior(service, SearcherBehavior::Hangs);
+            deployment.set_behavior("s2", SearcherBehavior::Hangs);
+            deployment.instances[0].terminate();
+            sleep(SETTLE_TIME / 2).await;
+            let addr = deployment.instances[0].caller_addr();
+            let answer = Caller::new(slow).get(addr, path, "late").await;
+            assert!(answer.as_ref().is_ok_and(|res| res.status == 504), "{answer:?}");
+            assert!(deployment.instances[0].wait_for_exit(GRACE_PERIOD).await.unwrap());
+        });
+    }
+    not_idempotent => ("/orders/7", "desk"),
+    query_over_shards => ("/sweep/7", "s1"),
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_searcher_cancels_the_request_of_a_caller_that_disconnects() {
     let deployment = Deployment::start(1).await;
