End an exchange with interim replies without end

What callers would see: nothing at once; a searcher that sends interim replies (1xx) without end kept an exchange and a thread at work until the request's deadline. Cause: the library skips interim replies, and nothing counted them. Change: an exchange ends after 16 of them as without a usable reply. Evidence: of the cases of bytes_without_end_end_the_exchange, interim_replies failed before (no end within 5 s) and passes now.

--- a/crates/searcher/src/http1_connection.rs
+++ b/crates/searcher/src/http1_connection.rs
@@ -8,7 +8,16 @@
 //! followed it, and the searcher has neither announced that it closes the
 //! connection nor closed it.
 
-use std::{net::SocketAddr, pin::Pin, task::Poll, time::Duration};
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    task::Poll,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use endivevale_core::{
@@ -47,6 +56,9 @@
 /// The largest reply head that is accepted, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The largest number of interim replies (status 1xx) before a reply.
+const MAX_INTERIM_REPLIES: u32 = 16;
+
 /// The reason why an exchange has no complete reply.
 #[derive(Debug)]
 pub enum HttpExchangeError {
@@ -59,6 +71,8 @@
     TruncatedReply,
     /// The reply's body is larger than the limit.
     ReplyTooLarge,
+    /// More interim replies came than the limit allows.
+    TooManyInterimReplies,
 }
 
 impl std::fmt::Display for HttpExchangeError {
@@ -76,6 +90,9 @@
             HttpExchangeError::ReplyTooLarge => {
                 write!(f, "the reply body is over the limit of {MAX_BODY_BYTES} bytes")
             }
+            HttpExchangeError::TooManyInterimReplies => {
+                write!(f, "over {MAX_INTERIM_REPLIES} interim replies came before the reply")
+            }
         }
     }
 }
@@ -166,8 +183,9 @@
 
     async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpExchangeError> {
+        let interim_replies = count_interim_replies(&mut req);
         let sending = self.sender.try_send_request(req);
         tokio::pin!(sending);
         let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
@@ -175,13 +193,16 @@
             if !*is_closed && driver.as_mut().poll(cx).is_ready() {
                 *is_closed = true;
             }
-            sending.as_mut().poll(cx)
+            if interim_replies.load(Ordering::Relaxed) > MAX_INTERIM_REPLIES {
+                return Poll::Ready(Err(HttpExchangeError::TooManyInterimReplies));
+            }
+            sending.as_mut().poll(cx).map_err(|mut e| match e.take_message() {
+                // Hyper returns the request only if no byte of it was written.
+                Some(_) => HttpExchangeError::Unsent,
+                None => HttpExchangeError::Http(e.into_error()),
+            })
         });
-        response.await.map_err(|mut e| match e.take_message() {
-            // Hyper returns the request only if no byte of it was written.
-            Some(_) => HttpExchangeError::Unsent,
-            None => HttpExchangeError::Http(e.into_error()),
-        })
+        response.await
     }
 
     async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, HttpExchangeError> {
@@ -215,6 +236,16 @@
     }
 }
 
+/// Returns a counter of the interim replies to a request.
+fn count_interim_replies(req: &mut Request<Full<Bytes>>) -> Arc<AtomicU32> {
+    let counter = Arc::<AtomicU32>::default();
+    let counted = Arc::clone(&counter);
+    hyper::ext::on_informational(req, move |_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+    });
+    counter
+}
+
 /// Returns whether a `Connection` header contains the option `close`.
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
