Give the core's modules on distribution and on searchers a room each

Cause: crates/core/src was flat, 37 modules beside each other. Change: moves only. distribution has the listing tracker, the membership, the read schedule, the registers and the choice of watchers; searcher has the choice of a searcher or replica, health, responsiveness, limits, connections and leaving. searcher_choice and searcher_health are searcher::choice and searcher::health. Result: the workspace builds with all targets and its documentation without warnings.

--- a/crates/core/src/listing_tracker.rs
+++ b/crates/core/src/distribution/listing_tracker.rs
@@ -17,7 +17,7 @@
 //!
 //! ```
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-//! use endivevale_core::listing_tracker::ListingTracker;
+//! use endivevale_core::distribution::listing_tracker::ListingTracker;
 //! use tokio::time::Instant;
 //!
 //! let mut tracker = ListingTracker::new();
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -8,6 +8,12 @@
 //! zone. A [`PullPlan`] decides whom to ask and when, and goes past instances
 //! that do not answer.
 
+pub mod listing_tracker;
+pub mod membership;
+pub mod read_schedule;
+pub mod register;
+pub mod watcher;
+
 mod digest;
 mod pull_plan;
 mod recent_texts;
--- a/crates/core/src/read_schedule.rs
+++ b/crates/core/src/distribution/read_schedule.rs
@@ -12,7 +12,7 @@
 //!
 //! ```
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-//! use endivevale_core::{name::InstanceName, read_schedule::{READ_INTERVAL, ReadSchedule}};
+//! use endivevale_core::{name::InstanceName, distribution::read_schedule::{READ_INTERVAL, ReadSchedule}};
 //! use tokio::time::Instant;
 //!
 //! let me = InstanceName::try_new("entry-1").unwrap();
--- a/crates/core/src/forward/attempt.rs
+++ b/crates/core/src/forward/attempt.rs
@@ -16,11 +16,11 @@
 };
 use crate::{
     attempt::{Attempt, NotRun, Rejection, Sent, Unsent},
-    concurrency_limiter::Permit,
     id::AttemptId,
     intent::Rank,
     quantile_estimator::QuantileEstimator,
     searcher::Searcher,
+    searcher::concurrency_limiter::Permit,
     view::ServiceView,
 };
 
--- a/crates/core/src/forward/relay/client.rs
+++ b/crates/core/src/forward/relay/client.rs
@@ -11,7 +11,7 @@
     forward::{Context, ForwardTransport},
     name::ZoneName,
     route::ShardSet,
-    searcher_choice,
+    searcher::choice,
     sibling::{self, Sibling},
     view::ServiceView,
 };
@@ -74,10 +74,8 @@
         if service.searchers().iter().any(|s| !s.is_leaving() && s.zone() == cx.zone) {
             continue;
         }
-        let usable = service
-            .searchers()
-            .iter()
-            .filter(|s| !s.is_leaving() && searcher_choice::is_responsive(s));
+        let usable =
+            service.searchers().iter().filter(|s| !s.is_leaving() && choice::is_responsive(s));
         let mut zones: Vec<&ZoneName> = usable.map(|s| s.zone()).collect();
         zones.sort_unstable();
         zones.dedup();
--- a/crates/core/src/forward/sub_request.rs
+++ b/crates/core/src/forward/sub_request.rs
@@ -22,7 +22,7 @@
     id::AttemptId,
     name::ZoneName,
     searcher::Searcher,
-    searcher_choice,
+    searcher::choice,
     view::ServiceView,
 };
 
@@ -231,14 +231,14 @@
         let searchers = self.service.searchers();
         if let PriorAttempt::SentInZone(zone) = &self.prior {
             let elsewhere =
-                searchers.iter().filter(|s| s.zone() != zone && searcher_choice::is_responsive(s));
+                searchers.iter().filter(|s| s.zone() != zone && choice::is_responsive(s));
             let elsewhere: Vec<_> = elsewhere.cloned().collect();
-            let chosen = searcher_choice::choose_searcher(&elsewhere, &self.tried, self.cx.zone);
+            let chosen = choice::choose_searcher(&elsewhere, &self.tried, self.cx.zone);
             if chosen.is_some() {
                 return chosen;
             }
         }
-        searcher_choice::choose_searcher(searchers, &self.tried, self.cx.zone)
+        choice::choose_searcher(searchers, &self.tried, self.cx.zone)
     }
 
     /// Returns whether the route's attempt limit and the deadline allow one
@@ -256,7 +256,7 @@
         }
         let next = self
             .choose()
-            .filter(|s| searcher_choice::is_responsive(s) && s.limiter().has_available_permit())?;
+            .filter(|s| choice::is_responsive(s) && s.limiter().has_available_permit())?;
         let state = self.service.state();
         if !state.budget.try_withdraw() {
             self.record_event(None, Event::OverBudget);
--- a/crates/core/src/searcher_choice.rs
+++ b/crates/core/src/searcher/choice.rs
@@ -11,10 +11,10 @@
 //! # Example
 //!
 //! ```
-//! use endivevale_core::{name::ZoneName, searcher_choice};
+//! use endivevale_core::{name::ZoneName, searcher::choice};
 //!
 //! let zone = ZoneName::try_new("a")?;
-//! assert!(searcher_choice::choose_searcher(&[], &[], &zone).is_none());
+//! assert!(choice::choose_searcher(&[], &[], &zone).is_none());
 //! # Ok::<(), endivevale_core::name::NameError>(())
 //! ```
 
--- a/crates/core/src/searcher_health.rs
+++ b/crates/core/src/searcher/health.rs
@@ -10,7 +10,7 @@
 //!
 //! ```
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-//! use endivevale_core::searcher_health::SearcherHealth;
+//! use endivevale_core::searcher::health::SearcherHealth;
 //! use std::time::Duration;
 //!
 //! let health = SearcherHealth::new();
--- a/crates/core/src/named_limit.rs
+++ b/crates/core/src/searcher/named_limit.rs
@@ -11,7 +11,7 @@
 //!
 //! ```
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-//! use endivevale_core::named_limit::{LimitStatement, NamedLimit, RequestRate};
+//! use endivevale_core::searcher::named_limit::{LimitStatement, NamedLimit, RequestRate};
 //! use endivevale_core::name::{SearcherName, ZoneName};
 //!
 //! let name = SearcherName::try_new("s1").unwrap();
--- a/crates/core/src/responsiveness.rs
+++ b/crates/core/src/searcher/responsiveness.rs
@@ -9,7 +9,7 @@
 //!
 //! ```
 //! # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-//! use endivevale_core::responsiveness::Responsiveness;
+//! use endivevale_core::searcher::responsiveness::Responsiveness;
 //! use std::time::Duration;
 //!
 //! let responsiveness = Responsiveness::new();
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -7,6 +7,7 @@
 
 use endivevale_cases::cases;
 use endivevale_core::{
+    distribution::read_schedule::READ_INTERVAL,
     distribution::{
         Announcement, ContentDigest, DistributionTree, KnownVersions, MAX_CHILDREN, Pull, PullPlan,
         RecentTexts, STALLED_AFTER,
@@ -14,7 +15,6 @@
     intent::ConfigVersion,
     layout::InstanceRecord,
     name::{InstanceName, ZoneName},
-    read_schedule::READ_INTERVAL,
 };
 use tokio::{
     sync::{Mutex, watch},
--- a/crates/core/tests/listing_tracker.rs
+++ b/crates/core/tests/listing_tracker.rs
@@ -7,12 +7,12 @@
 
 use endivevale_cases::cases;
 use endivevale_core::{
-    layout::{InstanceRecord, SearcherRecord, SearcherState},
-    listing_tracker::{
+    distribution::listing_tracker::{
         Change, LAPSED_ENTRY_GRACE, ListingDelta, ListingTracker, STORE_OUTAGE_THRESHOLD,
     },
+    distribution::read_schedule::{MAX_STARTUP_PAUSE, READ_INTERVAL, READ_STAGGER, ReadSchedule},
+    layout::{InstanceRecord, SearcherRecord, SearcherState},
     name::{InstanceName, SearcherName, ServiceName, ZoneName},
-    read_schedule::{MAX_STARTUP_PAUSE, READ_INTERVAL, READ_STAGGER, ReadSchedule},
 };
 use tokio::time::{Instant, advance};
 
--- a/crates/core/tests/named_limit.rs
+++ b/crates/core/tests/named_limit.rs
@@ -7,7 +7,7 @@
 use endivevale_cases::cases;
 use endivevale_core::{
     name::{InstanceName, SearcherName, ZoneName},
-    named_limit::{LimitStatement, NamedLimit, RequestRate, TierInstances},
+    searcher::named_limit::{LimitStatement, NamedLimit, RequestRate, TierInstances},
 };
 use tokio::{
     runtime::Runtime,
--- a/crates/core/tests/route_queries.rs
+++ b/crates/core/tests/route_queries.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use endivevale_cases::cases;
 use endivevale_core::{
+    distribution::register::ConfigRegister,
     engine::{Engine, QueryAnswer, RecordsAnswer},
     error::{ErrorKind, Failure},
     intent::{ConfigVersion, Configuration, Rank, Routing, ServiceIntent},
@@ -19,7 +20,6 @@
     name::{RouteName, ServiceName},
     policy::Policy,
     query::{Destination, Request, Submission},
-    register::ConfigRegister,
     route::{Route, RouteTable, ShardSet, Target, WeightedServices},
     searcher::Searcher,
     view::{ViewBuilder, ViewCell},
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use endivevale_core::{
+    distribution::register::ConfigRegister,
     error::Failure,
     forward::{
         ConnectError, ExchangeOutcome, ForwardReply, ForwardRequest, ForwardSettings,
@@ -23,7 +24,6 @@
     },
     layout::{InstanceRecord, SearcherRecord, SearcherState},
     name::{InstanceName, RouteName, SearcherName, ServiceName, ZoneName},
-    register::ConfigRegister,
     route::{Route, RouteTable, ShardSet, Target},
     searcher::Searcher,
     view::{ViewBuilder, ViewCell},
--- a/crates/endivevale/src/forwarding/control/announce.rs
+++ b/crates/endivevale/src/forwarding/control/announce.rs
@@ -1,7 +1,9 @@
 //! Heartbeats, which send the changes of the listing that this instance has
 //! read to its siblings.
 
-use endivevale_core::{listing_tracker::ListingDelta, membership::Heartbeat};
+use endivevale_core::{
+    distribution::listing_tracker::ListingDelta, distribution::membership::Heartbeat,
+};
 use endivevale_store::registry::ServiceRegistry;
 
 use super::ControlTask;
--- a/crates/endivevale/src/forwarding/control/fetch.rs
+++ b/crates/endivevale/src/forwarding/control/fetch.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use endivevale_core::{
-    distribution::KnownVersions, intent::ConfigVersion, read_schedule::READ_INTERVAL,
+    distribution::KnownVersions, distribution::read_schedule::READ_INTERVAL, intent::ConfigVersion,
 };
 use endivevale_sibling::state_sync::{self, ExchangeError, FetchedState, KnownState};
 use endivevale_store::registry::ServiceRegistry;
--- a/crates/endivevale/src/forwarding/control/handle.rs
+++ b/crates/endivevale/src/forwarding/control/handle.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use endivevale_core::{distribution::Announcement, membership::Heartbeat};
+use endivevale_core::{distribution::Announcement, distribution::membership::Heartbeat};
 use endivevale_sibling::state_sync::FetchedState;
 use endivevale_store::registry::{RegistryError, ServiceRegistry};
 use tokio::time::Instant;
--- a/crates/endivevale/src/forwarding/control/mod.rs
+++ b/crates/endivevale/src/forwarding/control/mod.rs
@@ -9,13 +9,13 @@
 use std::sync::{Arc, atomic::AtomicU32};
 
 use endivevale_core::{
-    connection_share::InstanceCount,
+    distribution::listing_tracker::{ListingDelta, ListingTracker},
+    distribution::read_schedule::ReadSchedule,
     distribution::{Announcement, PullPlan},
     intent::ConfigVersion,
     layout::{InstanceRecord, Listing},
     lifecycle::{InstanceLifecycle, Starting},
-    listing_tracker::{ListingDelta, ListingTracker},
-    read_schedule::ReadSchedule,
+    searcher::connection_share::InstanceCount,
     view::{ViewBuilder, ViewCell},
 };
 use endivevale_searcher::IdleConnections;
--- a/crates/endivevale/src/forwarding/control/publish.rs
+++ b/crates/endivevale/src/forwarding/control/publish.rs
@@ -5,8 +5,8 @@
 use endivevale_core::{
     layout::{Listing, SearcherRecord, SearcherState},
     name::InstanceName,
-    named_limit::TierInstances,
     searcher::SearcherKey,
+    searcher::named_limit::TierInstances,
 };
 use endivevale_store::registry::ServiceRegistry;
 use tokio::time::Instant;
--- a/crates/endivevale/src/forwarding/instance.rs
+++ b/crates/endivevale/src/forwarding/instance.rs
@@ -14,10 +14,10 @@
 };
 use endivevale_caller::forward_server::ForwardServer;
 use endivevale_core::{
+    distribution::register,
     forward::{Forwarder, RelayServer},
     layout::InstanceRecord,
     lifecycle::{InstanceLifecycle, StopDeadline},
-    register,
     view::ViewCell,
 };
 use endivevale_operator::{
--- a/crates/operator/tests/burn.rs
+++ b/crates/operator/tests/burn.rs
@@ -5,9 +5,9 @@
 use std::{sync::Arc, time::Duration};
 
 use endivevale_core::{
+    distribution::register::ConfigRegister,
     intent::{ConfigVersion, Configuration, Intent, Rank},
     name::ServiceName,
-    register::ConfigRegister,
     view::{View, ViewBuilder},
 };
 use endivevale_operator::{
--- a/crates/searcher/src/http1_connection.rs
+++ b/crates/searcher/src/http1_connection.rs
@@ -21,8 +21,8 @@
 
 use bytes::{Bytes, BytesMut};
 use endivevale_core::{
-    connection::{Connection, Opening, Ready},
     forward::ConnectError,
+    searcher::connection::{Connection, Opening, Ready},
 };
 use futures::{FutureExt, future::poll_fn};
 use http_body_util::Full;
--- a/crates/sibling/src/state_sync/server.rs
+++ b/crates/sibling/src/state_sync/server.rs
@@ -7,10 +7,10 @@
 };
 
 use endivevale_core::{
+    distribution::register::{ConfigRegister, ListingRegister},
     distribution::{Announcement, ContentDigest},
     intent::{Configuration, InForce},
     layout::Listing,
-    register::{ConfigRegister, ListingRegister},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
--- a/crates/sibling/tests/state_sync.rs
+++ b/crates/sibling/tests/state_sync.rs
@@ -7,11 +7,11 @@
 use endivevale_cases::cases;
 use endivevale_core::{
     distribution::Announcement,
+    distribution::register::{ConfigRegister, ListingRegister},
     intent::{
         Accepted, CallerLimits, ConfigVersion, Configuration, Intent, OptimizationGoal, Rank,
     },
     layout::Listing,
-    register::{ConfigRegister, ListingRegister},
 };
 use endivevale_sibling::{
     drop_counters::DropCounters,
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -7,9 +7,9 @@
 use std::{fmt, future::Future, time::Duration};
 
 use endivevale_core::{
+    distribution::listing_tracker::Change,
     intent::ConfigVersion,
     layout::{InstanceRecord, SearcherRecord},
-    listing_tracker::Change,
 };
 
 use crate::client::StoreError;
