--- a/crates/core/src/distribution/read_schedule.rs
+++ b/crates/core/src/distribution/read_schedule.rs
@@ -81,7 +81,7 @@
     /// siblings can send their state.
     #[must_use]
     pub fn new(own_name: InstanceName, now: Instant) -> Self {
-        let spread = STARTUP_SPREAD.mul_f64(order_hash(&own_name) as f64 / u64::MAX as f64);
+        let spread = STARTUP_SPREAD.mul_f64(own_name.stable_hash() as f64 / u64::MAX as f64);
         let paused_until = now + STARTUP_WAIT + spread;
         Self { own_name, position: 0, last_read: None, paused_until, pause: MIN_PAUSE }
     }
@@ -94,8 +94,8 @@
 
     /// Sets the instances of the tier, which determine this one's position.
     pub fn set_instances<'a>(&mut self, names: impl IntoIterator<Item = &'a InstanceName>) {
-        let own = order_hash(&self.own_name);
-        let predecessors = names.into_iter().filter(|name| order_hash(name) > own).count();
+        let own = self.own_name.stable_hash();
+        let predecessors = names.into_iter().filter(|name| name.stable_hash() > own).count();
         self.position = (predecessors as u32).min(MAX_POSITION);
     }
 
@@ -127,7 +127,3 @@
         due.max(self.paused_until)
     }
 }
-
-fn order_hash(name: &InstanceName) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes())
-}
--- a/crates/core/src/distribution/tree.rs
+++ b/crates/core/src/distribution/tree.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{layout::InstanceRecord, name::InstanceName};
+use crate::layout::InstanceRecord;
 
 /// The number of instances that fetch from one instance of their zone.
 pub const MAX_CHILDREN: usize = 4;
@@ -25,8 +25,8 @@
     pub fn new(own: &InstanceRecord, instances: &[InstanceRecord]) -> Self {
         let in_zone = instances.iter().filter(|i| i.zone == own.zone && i.name != own.name);
         let mut order: Vec<(u64, SocketAddr)> =
-            in_zone.map(|i| (order_hash(&i.name), i.sibling)).collect();
-        let own_key = (order_hash(&own.name), own.sibling);
+            in_zone.map(|i| (i.name.stable_hash(), i.sibling)).collect();
+        let own_key = (own.name.stable_hash(), own.sibling);
         order.push(own_key);
         order.sort_unstable();
         let mut position = order.partition_point(|key| *key < own_key);
@@ -44,7 +44,3 @@
         &self.ancestors
     }
 }
-
-fn order_hash(name: &InstanceName) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes())
-}
--- a/crates/core/src/searcher/named_limit.rs
+++ b/crates/core/src/searcher/named_limit.rs
@@ -138,8 +138,7 @@
 
 /// The weight of an instance in the rendezvous hashing of a searcher.
 fn weight(searcher: &SearcherName, instance: &InstanceName) -> u64 {
-    let seed = xxhash_rust::xxh3::xxh3_64(searcher.as_str().as_bytes());
-    xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_str().as_bytes(), seed)
+    xxhash_rust::xxh3::xxh3_64_with_seed(instance.as_str().as_bytes(), searcher.stable_hash())
 }
 
 /// The limit that one searcher names.
