Let a pull end only once, by its type

Cause: a pull in progress was a value that could be copied and ended twice. Change: only the plan creates a pull, and ending it consumes it. Result: formatter and linter are clean; no behaviour changed.

--- a/crates/core/src/distribution/pull_plan.rs
+++ b/crates/core/src/distribution/pull_plan.rs
@@ -63,15 +63,28 @@
     }
 }
 
-/// A pull to be carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A pull in progress. Only [`PullPlan::start_pull`] creates one, and
+/// [`PullPlan::record_end`] consumes it, so that a pull ends once.
+#[derive(Debug, PartialEq, Eq)]
 pub struct Pull {
-    /// The instance to ask.
-    pub source: SocketAddr,
-    /// What this instance was told of.
-    pub announcement: Announcement,
+    source: SocketAddr,
+    announcement: Announcement,
     /// The versions of this instance at the start.
-    pub known: KnownVersions,
+    known: KnownVersions,
+}
+
+impl Pull {
+    /// Returns the address of the instance to ask.
+    #[must_use]
+    pub const fn source(&self) -> SocketAddr {
+        self.source
+    }
+
+    /// Returns what this instance was told of.
+    #[must_use]
+    pub const fn announcement(&self) -> Announcement {
+        self.announcement
+    }
 }
 
 /// Decides whom to ask for a newer state, and when. One pull runs at a time;
@@ -143,7 +156,7 @@
     }
 
     /// Records the end of a pull; `known` are the versions after it.
-    pub fn record_end(&mut self, pull: &Pull, known: KnownVersions, now: Instant) {
+    pub fn record_end(&mut self, pull: Pull, known: KnownVersions, now: Instant) {
         self.is_running = false;
         if known.config > pull.known.config || known.listing > pull.known.listing {
             self.behind_since = None;
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -136,7 +136,7 @@
                 sleep_until(plan.due().unwrap()).await;
                 continue;
             };
-            let reply = self.reply_of(pull.source, wanted).await;
+            let reply = self.reply_of(pull.source(), wanted).await;
             own.send_if_modified(|own| match reply {
                 Some(version) if version > *own => {
                     *own = version;
@@ -144,7 +144,7 @@
                 }
                 _ => false,
             });
-            plan.record_end(&pull, known(*own.borrow()), Instant::now());
+            plan.record_end(pull, known(*own.borrow()), Instant::now());
         }
     }
 }
@@ -187,8 +187,8 @@
     let pull = start(&mut plan, 1).unwrap();
     plan.announce(announcement(5, addr(2)));
     assert_eq!(start(&mut plan, 1), None);
-    plan.record_end(&pull, known(2), Instant::now());
-    assert_eq!(start(&mut plan, 2).unwrap().source, addr(2));
+    plan.record_end(pull, known(2), Instant::now());
+    assert_eq!(start(&mut plan, 2).unwrap().source(), addr(2));
 }
 
 #[tokio::test(start_paused = true)]
@@ -196,7 +196,7 @@
     let mut plan = PullPlan::new();
     plan.announce(announcement(5, addr(1)));
     plan.announce(announcement(4, addr(2)));
-    assert_eq!(start(&mut plan, 4).unwrap().source, addr(1));
+    assert_eq!(start(&mut plan, 4).unwrap().source(), addr(1));
     assert_eq!(start(&mut plan, 5), None);
 }
 
@@ -212,12 +212,12 @@
     plan.announce(announcement(2, addr(99)));
     for source in [ancestors[0], ancestors[1], addr(99)] {
         let pull = start(&mut plan, 1).unwrap();
-        assert_eq!(pull.source, source);
-        plan.record_end(&pull, known(1), Instant::now());
+        assert_eq!(pull.source(), source);
+        plan.record_end(pull, known(1), Instant::now());
     }
     assert_eq!(start(&mut plan, 1), None);
     sleep_until(plan.due().unwrap()).await;
-    assert_eq!(start(&mut plan, 1).unwrap().source, addr(99));
+    assert_eq!(start(&mut plan, 1).unwrap().source(), addr(99));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/endivevale/src/forwarding/control/fetch.rs
+++ b/crates/endivevale/src/forwarding/control/fetch.rs
@@ -100,7 +100,7 @@
     pub(super) fn pull_if_due(&mut self) {
         let now = Instant::now();
         if let Some(pull) = self.pull_plan.start_pull(self.known_versions(), now) {
-            self.spawn_pull(pull.source, PullReason::Announced(pull));
+            self.spawn_pull(pull.source(), PullReason::Announced(pull));
         }
         if self.pull_plan.is_stalled(now) && self.is_store_up && !self.is_read_running {
             log::info!(
--- a/crates/endivevale/src/forwarding/control/handle.rs
+++ b/crates/endivevale/src/forwarding/control/handle.rs
@@ -60,7 +60,7 @@
                 );
             }
             Report::Pulled(fetched, reason) => {
-                self.apply_pulled(fetched, reason);
+                self.apply_pulled(fetched, &reason);
                 self.record_pull_end(reason);
             }
             Report::PullFailed(reason, is_unreachable) => {
@@ -137,12 +137,12 @@
         match reason {
             PullReason::Seed => self.is_seed_pull_running = false,
             PullReason::Announced(pull) => {
-                self.pull_plan.record_end(&pull, self.known_versions(), Instant::now());
+                self.pull_plan.record_end(pull, self.known_versions(), Instant::now());
             }
         }
     }
 
-    fn apply_pulled(&mut self, fetched: FetchedState, reason: PullReason) {
+    fn apply_pulled(&mut self, fetched: FetchedState, reason: &PullReason) {
         let now = Instant::now();
         if let Some((version, text)) = fetched.config {
             self.sink.apply_config(version, &text, "a sibling");
--- a/crates/endivevale/src/forwarding/store_reads.rs
+++ b/crates/endivevale/src/forwarding/store_reads.rs
@@ -36,7 +36,7 @@
 }
 
 /// Why a pull was started.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(super) enum PullReason {
     /// This instance has no configuration and asks a seed, of which it does not
     /// know what it has.
@@ -50,7 +50,7 @@
     pub(super) fn announcement(&self) -> Option<Announcement> {
         match self {
             PullReason::Seed => None,
-            PullReason::Announced(pull) => Some(pull.announcement),
+            PullReason::Announced(pull) => Some(pull.announcement()),
         }
     }
 }
