Test that a configuration with another digest than named is rejected

Cause: no test broke when the check of the digest of a fetched configuration was taken out. Change: a test with a sibling that sends another text than its digest names.

--- a/crates/sibling/tests/state_sync.rs
+++ b/crates/sibling/tests/state_sync.rs
@@ -6,8 +6,8 @@
 
 use endivevale_cases::cases;
 use endivevale_core::{
-    distribution::Announcement,
     distribution::register::{ConfigRegister, ListingRegister},
+    distribution::{Announcement, ContentDigest},
     intent::{
         Accepted, CallerLimits, ConfigVersion, Configuration, Intent, OptimizationGoal, Rank,
     },
@@ -16,10 +16,12 @@
 use endivevale_sibling::{
     drop_counters::DropCounters,
     heartbeat::SiblingAddrs,
-    state_sync::{self, FetchedState, KnownState, StateRegisters, StateServer},
+    state_sync::{self, ExchangeError, FetchedState, KnownState, StateRegisters, StateServer},
     transfer_counters::TransferCounters,
+    wire::{self, ConfigTransfer, StateReply, WireError},
 };
 use tokio::{
+    io::AsyncWriteExt,
     net::TcpListener,
     sync::mpsc,
     time::{Instant, sleep},
@@ -154,6 +156,32 @@
     assert!(started.elapsed() >= state_sync::REPLY_WAIT);
 }
 
+// Guards against a configuration that nobody wrote: a change that was applied
+// to another text than it was made from.
+#[tokio::test]
+async fn configuration_with_another_digest_than_named_is_rejected() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let transfer = ConfigTransfer {
+        version: ConfigVersion::new(4),
+        digest: ContentDigest::of(&text(5)),
+        is_change: false,
+        bytes: zstd::bulk::compress(text(4).as_bytes(), 1).unwrap(),
+    };
+    let reply = StateReply { config: Some(transfer), listing: None };
+    let message = wire::encode_state_reply(&reply).unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(&(message.len() as u32).to_le_bytes()).await.unwrap();
+        stream.write_all(&message).await.unwrap();
+        sleep(Duration::from_secs(1)).await;
+    });
+    let counters = TransferCounters::default();
+    let fetched = state_sync::fetch_state(addr, &KnownState::default(), &counters).await;
+    assert!(matches!(fetched, Err(ExchangeError::Wire(WireError::Malformed))), "{fetched:?}");
+    assert_eq!((counters.fetched.get(), counters.not_fetched.get()), (0, 1));
+}
+
 #[tokio::test]
 async fn newer_listing_is_fetched_with_the_configuration() {
     let sibling = Sibling::start(&[3]).await;
