Start the instances of a test tier in one place

Cause: two test files started forwarding instances by the same lines. Change: start_instances in the platform's stand-in. The checks are unchanged.

--- a/crates/endivevale/tests/config_distribution.rs
+++ b/crates/endivevale/tests/config_distribution.rs
@@ -9,11 +9,9 @@
     config::{ConfigBuilder, RouteDeclaration},
     searcher::{Searcher, SearcherSpec},
     store::{CONFIG_OBJECT, Store},
+    tier::start_instances,
 };
-use endivevale_standin::{
-    load,
-    process::{ForwardingSpec, InstanceProcess, InstanceSpec},
-};
+use endivevale_standin::{load, process::InstanceProcess};
 use tokio::time::{Instant, sleep};
 
 const INSTANCE_BIN: &str = env!("CARGO_BIN_EXE_endivevale");
@@ -69,19 +67,10 @@
             service_time: Duration::from_millis(10),
         };
         let searcher = Searcher::start(&store, searcher).await.unwrap();
-        let mut instances: Vec<InstanceProcess> = Vec::new();
-        for index in 0..INSTANCE_COUNT {
-            let base = format!("http://{}", store.addr());
-            let mut spec =
-                InstanceSpec::new(&format!("entry-{index}"), ["a", "b", "c"][index % 3], &base);
-            spec.seeds = instances.iter().take(3).map(|i| i.record().sibling).collect();
-            spec.forwarding = Some(ForwardingSpec {
-                grace: Duration::from_secs(4),
-                extra_attempts: 0.2,
-                extra_allowance: 50.0,
-            });
-            instances.push(InstanceProcess::start(Path::new(INSTANCE_BIN), &spec).await.unwrap());
-        }
+        let count = INSTANCE_COUNT;
+        let instances = start_instances(Path::new(INSTANCE_BIN), &store, &["a", "b", "c"], count)
+            .await
+            .unwrap();
         let deployment = Self { store, _searcher: searcher, instances };
         deployment.wait_in_force(1).await;
         // Each instance has read the list of instances after this time.
--- a/crates/endivevale/tests/named_limits.rs
+++ b/crates/endivevale/tests/named_limits.rs
@@ -11,8 +11,9 @@
     config::{ConfigBuilder, RouteDeclaration},
     searcher::{Searcher, SearcherSpec},
     store::{CONFIG_OBJECT, Store},
+    tier::start_instances,
 };
-use endivevale_standin::process::{ForwardingSpec, InstanceProcess, InstanceSpec};
+use endivevale_standin::process::InstanceProcess;
 use tokio::{
     task::JoinSet,
     time::{Instant, interval, sleep},
@@ -64,19 +65,9 @@
             };
             searchers.push(Searcher::start(&store, spec).await.unwrap());
         }
-        let mut instances: Vec<InstanceProcess> = Vec::new();
-        for index in 0..ZONES.len() * INSTANCES_PER_ZONE {
-            let base = format!("http://{}", store.addr());
-            let zone = ZONES[index % ZONES.len()];
-            let mut spec = InstanceSpec::new(&format!("entry-{index}"), zone, &base);
-            spec.seeds = instances.iter().take(3).map(|i| i.record().sibling).collect();
-            spec.forwarding = Some(ForwardingSpec {
-                grace: Duration::from_secs(4),
-                extra_attempts: 0.2,
-                extra_allowance: 50.0,
-            });
-            instances.push(InstanceProcess::start(Path::new(INSTANCE_BIN), &spec).await.unwrap());
-        }
+        let count = ZONES.len() * INSTANCES_PER_ZONE;
+        let instances =
+            start_instances(Path::new(INSTANCE_BIN), &store, &ZONES, count).await.unwrap();
         for instance in &instances {
             instance.wait_until_ready(READY_TIMEOUT).await.unwrap();
         }
