--- a/crates/core/src/distribution/listing_tracker.rs
+++ b/crates/core/src/distribution/listing_tracker.rs
@@ -27,16 +27,16 @@
 //! ```
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     sync::Arc,
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::{
     distribution::ContentDigest,
+    distribution::listing_delta::{Change, ListingDelta},
     layout::{InstanceRecord, Listing, SearcherRecord, SearcherState},
     name::SearcherName,
 };
@@ -50,68 +50,6 @@
 /// The time after a store recovery for which a missing entry is kept.
 pub const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2500);
 
-/// One change of the searcher entries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// An entry was written.
-    Written(SearcherRecord),
-    /// An entry was removed.
-    Removed(SearcherName),
-    /// Only the state of an entry changed.
-    StateChanged(SearcherName, SearcherState),
-    /// An entry was written that describes no usable searcher.
-    Unusable(SearcherName),
-}
-
-/// The changes between two versions of the listing.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListingDelta {
-    /// The version that the changes apply to; 0 if the delta is absent.
-    pub base_version: u64,
-    /// The digest of the searchers that the changes apply to. Two instances may
-    /// have different searchers under one version, for example if only one of
-    /// them has seen an outage of the store.
-    pub base_digest: ContentDigest,
-    /// The changes, at most one per searcher.
-    pub changes: Vec<Change>,
-}
-
-impl ListingDelta {
-    /// Computes the changes from `old` to `new`. The delta is absent if `old`
-    /// has version 0, or if the instances differ, since a delta covers
-    /// searchers only.
-    #[must_use]
-    pub fn between(old: &Listing, new: &Listing) -> Self {
-        if old.version == 0 || old.instances != new.instances {
-            return Self::default();
-        }
-        let old_records: HashMap<_, _> = old.searchers.iter().map(|r| (&r.name, r)).collect();
-        let new_names: HashSet<_> = new.searchers.iter().map(|r| &r.name).collect();
-        let written = new.searchers.iter().filter(|r| old_records.get(&r.name) != Some(r));
-        let removed = old.searchers.iter().filter(|r| !new_names.contains(&r.name));
-        let changes = written
-            .map(|r| change_between(old_records.get(&r.name).copied(), r))
-            .chain(removed.map(|r| Change::Removed(r.name.clone())));
-        Self {
-            base_version: old.version,
-            base_digest: ContentDigest::of_list(&old.searchers),
-            changes: changes.collect(),
-        }
-    }
-}
-
-/// Returns the change from one record to another: of the state alone if
-/// nothing else differs, else of the whole record.
-fn change_between(old: Option<&SearcherRecord>, new: &SearcherRecord) -> Change {
-    let differs_in_state_only =
-        old.is_some_and(|old| SearcherRecord { state: new.state, ..old.clone() } == *new);
-    if differs_in_state_only {
-        Change::StateChanged(new.name.clone(), new.state)
-    } else {
-        Change::Written(new.clone())
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Entry {
     record: SearcherRecord,
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -8,6 +8,7 @@
 //! zone. A [`PullPlan`] decides whom to ask and when, and goes past instances
 //! that do not answer.
 
+pub mod listing_delta;
 pub mod listing_tracker;
 pub mod membership;
 pub mod read_schedule;
--- a/crates/core/tests/listing_tracker.rs
+++ b/crates/core/tests/listing_tracker.rs
@@ -7,9 +7,8 @@
 
 use endivevale_cases::cases;
 use endivevale_core::{
-    distribution::listing_tracker::{
-        Change, LAPSED_ENTRY_GRACE, ListingDelta, ListingTracker, STORE_OUTAGE_THRESHOLD,
-    },
+    distribution::listing_delta::{Change, ListingDelta},
+    distribution::listing_tracker::{LAPSED_ENTRY_GRACE, ListingTracker, STORE_OUTAGE_THRESHOLD},
     distribution::read_schedule::{MAX_STARTUP_PAUSE, READ_INTERVAL, READ_STAGGER, ReadSchedule},
     layout::{InstanceRecord, SearcherRecord, SearcherState},
     name::{InstanceName, SearcherName, ServiceName, ZoneName},
--- a/crates/endivevale/src/forwarding/control/announce.rs
+++ b/crates/endivevale/src/forwarding/control/announce.rs
@@ -2,7 +2,7 @@
 //! read to its siblings.
 
 use endivevale_core::{
-    distribution::listing_tracker::ListingDelta, distribution::membership::Heartbeat,
+    distribution::listing_delta::ListingDelta, distribution::membership::Heartbeat,
 };
 use endivevale_store::registry::ServiceRegistry;
 
--- a/crates/endivevale/src/forwarding/control/mod.rs
+++ b/crates/endivevale/src/forwarding/control/mod.rs
@@ -9,7 +9,8 @@
 use std::sync::{Arc, atomic::AtomicU32};
 
 use endivevale_core::{
-    distribution::listing_tracker::{ListingDelta, ListingTracker},
+    distribution::listing_delta::ListingDelta,
+    distribution::listing_tracker::ListingTracker,
     distribution::read_schedule::ReadSchedule,
     distribution::{Announcement, PullPlan},
     intent::ConfigVersion,
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -7,7 +7,7 @@
 use std::{fmt, future::Future, time::Duration};
 
 use endivevale_core::{
-    distribution::listing_tracker::Change,
+    distribution::listing_delta::Change,
     intent::ConfigVersion,
     layout::{InstanceRecord, SearcherRecord},
 };
