Follow a searcher that leaves or asks for a pause in its replies

Cause: Server-Leaving was not read, so an instance learnt only from the store that a searcher leaves, and Retry-After of a searcher's 503 was not read, so that requests went on to it. A searcher known to be leaving was used again when its entry was removed and came back while the store was away: the forwarding control task did not record it. Leaving searchers are recorded before each view.

--- a/crates/core/src/forward/attempt.rs
+++ b/crates/core/src/forward/attempt.rs
@@ -99,6 +99,11 @@
         record_event(cx, service, Some(&searcher), Event::LeavingOrExpired);
         return AttemptOutcome::NotRun(unsent.not_run(), false);
     }
+    if searcher.requested_pause().is_paused() {
+        searcher.stats().paused.inc();
+        record_event(cx, service, Some(&searcher), Event::Paused);
+        return AttemptOutcome::NotRun(unsent.not_run(), false);
+    }
     if !searcher.named_limit().try_acquire() {
         searcher.stats().limited.inc();
         record_event(cx, service, Some(&searcher), Event::Limited);
--- a/crates/core/src/forward/single.rs
+++ b/crates/core/src/forward/single.rs
@@ -12,11 +12,11 @@
 };
 
 /// Returns when a caller should try again: once a searcher has room under the
-/// limit that it names, and not before [`RETRY_AFTER`].
+/// limit that it names and wants requests again, and not before [`RETRY_AFTER`].
 fn retry_after(service: Option<&Arc<ServiceView>>) -> Duration {
     let searchers = service.map_or(&[][..], |service| service.searchers());
     let live = searchers.iter().filter(|searcher| !searcher.is_leaving());
-    let earliest = live.map(|searcher| searcher.named_limit().time_to_room()).min();
+    let earliest = live.map(|searcher| searcher.time_to_room()).min();
     earliest.map_or(RETRY_AFTER, |wait| wait.max(RETRY_AFTER))
 }
 
--- a/crates/core/src/forward/trace.rs
+++ b/crates/core/src/forward/trace.rs
@@ -46,6 +46,8 @@
     LeavingOrExpired,
     /// The limit that the searcher names left no room for the attempt.
     Limited,
+    /// The searcher has asked for no requests for some time.
+    Paused,
     /// The searcher rejected the request without running it.
     Rejected(RejectionReason),
     /// The searcher ran the request and failed.
@@ -68,6 +70,7 @@
             Event::Unsent => f.write_str("not_sent"),
             Event::LeavingOrExpired => f.write_str("left"),
             Event::Limited => f.write_str("limited"),
+            Event::Paused => f.write_str("asked_to_wait"),
             Event::Rejected(reason) => write!(f, "refused:{reason}"),
             Event::Failed => f.write_str("failed"),
             Event::NoReply(reason) => write!(f, "lost:{reason}"),
--- a/crates/core/src/searcher/choice.rs
+++ b/crates/core/src/searcher/choice.rs
@@ -56,7 +56,8 @@
 const SILENT_MIN: Duration = Duration::from_millis(30);
 
 /// Returns the searcher with the lowest cost among those that are neither
-/// leaving nor in `tried`, and whose named limit leaves this instance room.
+/// leaving nor in `tried`, and that take requests by their own statements: the
+/// limit that they name leaves this instance room, and no pause was asked for.
 #[must_use]
 pub fn choose_searcher(
     searchers: &[Arc<Searcher>],
@@ -66,7 +67,7 @@
     let mut rng = rand::rng();
     let mut best: Option<(f64, &Arc<Searcher>)> = None;
     for searcher in searchers {
-        let is_usable = !searcher.is_leaving() && searcher.named_limit().has_room();
+        let is_usable = !searcher.is_leaving() && searcher.time_to_room().is_zero();
         if !is_usable || tried.iter().any(|t| Arc::ptr_eq(t, searcher)) {
             continue;
         }
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -345,6 +345,7 @@
 
     /// Publishes a view of the current records of searchers and siblings.
     pub fn publish_view(&mut self) {
+        self.builder.record_leaving_searchers();
         self.builder.set_siblings(&self.siblings);
         let view = self.builder.build(self.register.current(), &self.records, self.instances);
         self.views.store(view);
--- a/crates/endivevale/src/forwarding/control/publish.rs
+++ b/crates/endivevale/src/forwarding/control/publish.rs
@@ -45,6 +45,9 @@
     }
 
     fn publish(&mut self, searchers: &[SearcherRecord], instances: u32) {
+        // A searcher that said so itself stays leaving when its entry is removed
+        // and comes back.
+        self.view_builder.record_leaving_searchers();
         let view = self.view_builder.build(self.sink.config.current(), searchers, instances);
         let used = view.searchers().filter(|s| s.keeps_connections());
         let used_keys: HashSet<SearcherKey> = used.map(|s| s.key()).collect();
