Tell the requesting instance which searchers are leaving

Cause: with aggregators, a searcher's statement that it leaves reaches the aggregator, while the instance that has passed the answer on to its caller may send to that searcher itself when aggregators are silent. Change: each relay reply names the leaving searchers of its shards with their incarnations; the requesting instance marks them. Result: searcher_that_a_sibling_found_to_be_leaving_gets_no_direct_request passes; the field is new, so it was not run on the code before.

--- a/crates/core/src/forward/relay/mod.rs
+++ b/crates/core/src/forward/relay/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     intent::Rank,
-    name::{RouteName, ServiceName, ZoneName},
+    name::{RouteName, SearcherName, ServiceName, ZoneName},
     sibling::Sibling,
 };
 
@@ -73,6 +73,9 @@
     pub parts: Vec<(u16, Arc<str>)>,
     /// The positions of shards whose sub-requests reached no searcher.
     pub unreached: Vec<u16>,
+    /// The searchers of the requested shards that are known to be leaving, with
+    /// their incarnations.
+    pub leaving: Vec<(SearcherName, u64)>,
     /// Whether this is the last reply to the request.
     pub is_last: bool,
 }
--- a/crates/core/src/forward/relay/server.rs
+++ b/crates/core/src/forward/relay/server.rs
@@ -16,7 +16,7 @@
         trace::{LogLimiter, Trace},
     },
     id::RequestId,
-    name::ZoneName,
+    name::{SearcherName, ServiceName, ZoneName},
     records,
     route::{Route, ShardSet, Target},
     view::{View, ViewCell},
@@ -143,6 +143,7 @@
     }
     reply.body = Bytes::from(records::merge_greatest(&bodies, request.top_k));
     reply.is_last = sub_requests.is_empty();
+    reply.leaving = leaving_searchers(view, &request.shards);
     if !sink.send(reply).await {
         return;
     }
@@ -152,12 +153,22 @@
             reply.body = Bytes::from(records::merge_greatest(&[body], request.top_k));
         }
         reply.is_last = sub_requests.is_empty();
+        reply.leaving = leaving_searchers(view, &request.shards[usize::from(position)..][..1]);
         if !sink.send(reply).await {
             return;
         }
     }
 }
 
+/// Returns the searchers of these shards that are leaving. The requesting sibling
+/// has not received what they say about themselves.
+fn leaving_searchers(view: &View, shards: &[ServiceName]) -> Vec<(SearcherName, u64)> {
+    let services = shards.iter().filter_map(|shard| view.service(shard));
+    let searchers = services.flat_map(|service| service.searchers());
+    let leaving = searchers.filter(|s| s.is_leaving());
+    leaving.map(|s| (s.name().clone(), s.incarnation())).collect()
+}
+
 /// Adds the result of a shard's sub-request to a reply. Returns the body of the
 /// part, if there is one.
 fn add_result<X>(
--- a/crates/core/src/forward/sharded.rs
+++ b/crates/core/src/forward/sharded.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     error::{ErrorKind, Failure},
+    name::SearcherName,
     route::ShardSet,
     view::ServiceView,
 };
@@ -179,6 +180,7 @@
         let shard_indices = &task.plan.shard_indices;
         match event {
             RelayEvent::Reply(reply) => {
+                self.mark_leaving(shard_indices, &reply.leaving);
                 for index in self.parts.add_relayed(shard_indices, &reply) {
                     if let Some(abort_handle) = self.abort_handles.get(&index) {
                         abort_handle.abort();
@@ -205,6 +207,22 @@
         }
     }
 
+    /// Marks the searchers of these shards that a sibling found to be leaving.
+    fn mark_leaving(&self, shard_indices: &[usize], leaving: &[(SearcherName, u64)]) {
+        if leaving.is_empty() {
+            return;
+        }
+        let services = shard_indices.iter().filter_map(|index| self.shards[*index]);
+        for searcher in services.flat_map(|service| service.searchers()) {
+            let is_same = |(name, incarnation): &(SearcherName, u64)| {
+                name == searcher.name() && *incarnation == searcher.incarnation()
+            };
+            if leaving.iter().any(is_same) {
+                searcher.mark_leaving();
+            }
+        }
+    }
+
     /// Records that the sibling sends nothing more for a shard. If the shard
     /// has no part and no open sub-request, starts one from this instance.
     fn end_relay(&mut self, index: usize, prior: PriorAttempt) {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -19,6 +19,7 @@
         ExtraAttempts, RelayClient, RelayError, RelayReplies, RelayReply, RelayReplySink,
         RelayRequest, RelayServer,
     },
+    name::SearcherName,
     sibling::Sibling,
 };
 use tokio::time::{Instant, sleep};
@@ -93,6 +94,7 @@
                     body: Bytes::from(body),
                     parts: parts.collect(),
                     unreached: vec![],
+                    leaving: vec![(SearcherName::try_new("s2c").unwrap(), 1)],
                     is_last,
                 })
             }
@@ -167,6 +169,18 @@
     assert_eq!(direct_request_count(&sim), 0);
 }
 
+/// A searcher that says it is leaving says so to the sibling that asks it, and this
+/// instance must not send to it either.
+#[tokio::test(start_paused = true)]
+async fn searcher_that_a_sibling_found_to_be_leaving_gets_no_direct_request() {
+    let sim = four_shards();
+    let relay = scripted_relay(vec![SiblingStep::Parts(25 * MS, vec![0, 1], true)]);
+    forward_query(&sim, &relay).await;
+    let view = sim.views.load();
+    let leaving = view.searchers().filter(|s| s.is_leaving()).map(|s| s.name().to_string());
+    assert_eq!(leaving.collect::<Vec<_>>(), ["s2c"]);
+}
+
 cases! {
     async fn shards_that_the_sibling_does_not_return_get_direct_sub_requests(
         steps: Vec<SiblingStep>, direct: u32,
--- a/crates/sibling/src/relay/codec.rs
+++ b/crates/sibling/src/relay/codec.rs
@@ -6,7 +6,7 @@
 use endivevale_core::{
     forward::{RelayReply, RelayRequest},
     intent::Rank,
-    name::{RouteName, ServiceName, ZoneName},
+    name::{RouteName, SearcherName, ServiceName, ZoneName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,7 @@
     body: Vec<u8>,
     parts: Vec<(u16, String)>,
     unreached: Vec<u16>,
+    leaving: Vec<(SearcherName, u64)>,
     is_last: bool,
 }
 
@@ -114,6 +115,7 @@
         body: reply.body.to_vec(),
         parts: parts.collect(),
         unreached: reply.unreached.clone(),
+        leaving: reply.leaving.clone(),
         is_last: reply.is_last,
     };
     wire::encode(MessageKind::RelayReply, &reply, MAX_RELAY_BYTES)
@@ -131,6 +133,7 @@
         body: Bytes::from(reply.body),
         parts: parts.collect(),
         unreached: reply.unreached,
+        leaving: reply.leaving,
         is_last: reply.is_last,
     })
 }
--- a/crates/sibling/tests/relay.rs
+++ b/crates/sibling/tests/relay.rs
@@ -8,7 +8,7 @@
 use endivevale_core::{
     forward::{RelayClient, RelayReplies, RelayReply, RelayRequest, RelayServer},
     intent::Rank,
-    name::{InstanceName, RouteName, ServiceName},
+    name::{InstanceName, RouteName, SearcherName, ServiceName},
     sibling::Sibling,
 };
 use endivevale_sibling::{
@@ -224,11 +224,16 @@
         body in prop::collection::vec(any::<u8>(), 0..400),
         parts in prop::collection::vec((any::<u16>(), "[a-f0-9.]{1,30}"), 0..60),
         unreached in prop::collection::vec(any::<u16>(), 0..60),
+        leaving in prop::collection::vec(("[a-z0-9-]{1,20}", any::<u64>()), 0..5),
         is_last in any::<bool>(),
     ) {
         let parts =
             parts.into_iter().map(|(shard, signature)| (shard, Arc::from(signature))).collect();
-        let reply = RelayReply { body: Bytes::from(body), parts, unreached, is_last };
+        let leaving = leaving
+            .into_iter()
+            .map(|(name, incarnation)| (SearcherName::try_new(&name).unwrap(), incarnation))
+            .collect();
+        let reply = RelayReply { body: Bytes::from(body), parts, unreached, leaving, is_last };
         prop_assert_eq!(decode_relay_reply(&encode_relay_reply(&reply).unwrap()), Ok(reply));
     }
 
