--- a/crates/core/src/forward/relay/client.rs
+++ b/crates/core/src/forward/relay/client.rs
@@ -188,11 +188,13 @@
     request: RelayRequest<R::Head>,
 ) -> Option<(RelayEvent, RelayState<'a, R>)> {
     let sibling = &*task.plan.sibling;
+    sibling.zone_state().stats.sent.inc();
     let mut replies = match relay.send(sibling, request).await {
         Ok(replies) => replies,
         Err(e) => {
             sibling.eject_for(DOWN_EJECTION);
-            sibling.zone_breaker().record_failure();
+            sibling.zone_state().breaker.record_failure();
+            sibling.zone_state().stats.unreachable.inc();
             let may_have_run = e != RelayError::Down;
             if !may_have_run {
                 task.take_back();
@@ -204,15 +206,18 @@
     match &reply {
         Ok(_) if task.is_taken_over() => {}
         Ok(_) => sibling.record_reply(),
-        Err(_) => sibling.zone_breaker().record_failure(),
+        Err(_) => sibling.zone_state().breaker.record_failure(),
     }
     let has_more = reply.as_ref().is_ok_and(|reply| !reply.is_last);
-    if has_more && task.try_grant() && !replies.grant_extra_attempts().await {
-        log::debug!(
-            target: "sibling",
-            "Could not grant extra attempts to sibling {}; none are sent.",
-            sibling.name(),
-        );
+    if has_more && task.try_grant() {
+        sibling.zone_state().stats.granted.inc();
+        if !replies.grant_extra_attempts().await {
+            log::debug!(
+                target: "sibling",
+                "Could not grant extra attempts to sibling {}; none are sent.",
+                sibling.name(),
+            );
+        }
     }
     Some(handle_reply(reply, replies))
 }
@@ -225,7 +230,7 @@
         "Sibling {} did not reply in time; ejecting it.",
         sibling.name(),
     );
-    sibling.zone_breaker().record_failure();
+    sibling.zone_state().breaker.record_failure();
     if !sibling.is_ejected() {
         sibling.eject_doubling(OVERDUE_EJECTION);
     }
--- a/crates/core/src/forward/relay/server.rs
+++ b/crates/core/src/forward/relay/server.rs
@@ -67,23 +67,25 @@
             deadline: received + request.deadline_in,
         };
         send_parts(&cx, &view, &request, received + request.first_reply_within, sink).await;
-        self.log(&request, received, &trace);
+        self.log(&view, &request, received, &trace);
     }
 
     /// Logs a request whose trace has entries, unless the rate limit on log lines
     /// is reached.
-    fn log(&self, request: &RelayRequest<C::Head>, received: Instant, trace: &Trace) {
+    fn log(&self, view: &View, request: &RelayRequest<C::Head>, received: Instant, trace: &Trace) {
         if trace.is_empty() || !log::log_enabled!(target: "sibling", log::Level::Info) {
             return;
         }
         let Some(suppressed) = self.log_limiter.try_log() else { return };
+        let version = view.config().map_or(0, |config| config.version().number());
         log::info!(
             target: "sibling",
-            "relayed request={} route={} shards={} ms={:.1} left_out={suppressed} events={trace}",
+            "request={} route={} version={version} relayed shards={} ms={:.1} patience_ms={} left_out={suppressed} events={trace}",
             request.id,
             request.route,
             request.shards.len(),
             received.elapsed().as_secs_f64() * 1e3,
+            request.deadline_in.as_millis(),
         );
     }
 }
--- a/crates/core/src/forward/sharded.rs
+++ b/crates/core/src/forward/sharded.rs
@@ -19,6 +19,7 @@
     parts::PartCollector,
     relay::{self, RelayEvent, RelayTask},
     sub_request::{self, PriorAttempt, SubRequestFailure},
+    trace::Event,
 };
 use crate::{
     error::{ErrorKind, Failure},
@@ -257,7 +258,13 @@
     /// attempts through other siblings; starts a sub-request from this instance for
     /// each shard that is in none of them.
     fn take_over(&mut self, task: &RelayTask, missing: &[usize]) -> Vec<Arc<RelayTask>> {
-        let zone = task.plan.sibling.zone();
+        let sibling = &task.plan.sibling;
+        for service in missing.iter().filter_map(|index| self.shards[*index]) {
+            let name = &service.intent().name;
+            self.cx.trace.record_relay(name, sibling.name(), Event::AggregatorOverdue);
+        }
+        sibling.zone_state().stats.taken_over.inc();
+        let zone = sibling.zone();
         let plans = relay::plan_take_over(self.cx, self.shards, missing);
         for index in missing.iter().copied() {
             if plans.iter().any(|plan| plan.shard_indices.contains(&index)) {
--- a/crates/core/src/forward/trace.rs
+++ b/crates/core/src/forward/trace.rs
@@ -12,7 +12,7 @@
 
 use super::{ConnectError, LossReason, RejectionReason};
 use crate::{
-    name::{SearcherName, ServiceName},
+    name::{InstanceName, SearcherName, ServiceName},
     rate_limiter::RateLimiter,
     stats::Counter,
 };
@@ -48,6 +48,9 @@
     Limited,
     /// The searcher has asked for no requests for some time.
     Paused,
+    /// The first reply of the aggregator, whose name stands in place of a
+    /// searcher's, was overdue.
+    AggregatorOverdue,
     /// The searcher rejected the request without running it.
     Rejected(RejectionReason),
     /// The searcher ran the request and failed.
@@ -70,6 +73,7 @@
             Event::Unsent => f.write_str("not_sent"),
             Event::LeavingOrExpired => f.write_str("left"),
             Event::Limited => f.write_str("limited"),
+            Event::AggregatorOverdue => f.write_str("aggregator_overdue"),
             Event::Paused => f.write_str("asked_to_wait"),
             Event::Rejected(reason) => write!(f, "refused:{reason}"),
             Event::Failed => f.write_str("failed"),
@@ -118,11 +122,20 @@
         searcher: Option<&SearcherName>,
         event: Event,
     ) {
+        self.push(service, searcher.cloned(), event);
+    }
+
+    /// Records an event of a shard that was relayed to this sibling.
+    pub(super) fn record_relay(&self, service: &ServiceName, sibling: &InstanceName, event: Event) {
+        self.push(service, SearcherName::try_new(sibling.as_str()).ok(), event);
+    }
+
+    fn push(&self, service: &ServiceName, searcher: Option<SearcherName>, event: Event) {
         let entries = self.entries.get_or_init(|| ArrayQueue::new(MAX_ENTRIES));
         let entry = TraceEntry {
             offset: self.received.elapsed(),
             service: service.clone(),
-            searcher: searcher.cloned(),
+            searcher,
             event,
         };
         drop(entries.force_push(entry));
--- a/crates/core/src/sibling.rs
+++ b/crates/core/src/sibling.rs
@@ -34,8 +34,18 @@
 use crate::{
     circuit_breaker::CircuitBreaker,
     name::{InstanceName, ZoneName},
+    stats::RelayStats,
 };
 
+/// The state of this instance's relays to all siblings of one zone.
+#[derive(Debug, Default)]
+pub struct ZoneState {
+    /// Open while the zone does not answer.
+    pub breaker: CircuitBreaker,
+    /// Counters of the relayed requests.
+    pub stats: RelayStats,
+}
+
 /// Another instance of the tier, with its ejection state.
 #[derive(Debug)]
 pub struct Sibling {
@@ -44,7 +54,7 @@
     /// The address for relayed requests.
     relay_addr: SocketAddr,
     /// The state of all siblings of the zone together.
-    zone_breaker: Arc<CircuitBreaker>,
+    zone_state: Arc<ZoneState>,
     created_at: Instant,
     /// The time until which the instance is ejected, in microseconds since
     /// `created_at`; 0 if it never was.
@@ -63,20 +73,20 @@
         Self::in_zone(name, zone, relay_addr, Arc::default())
     }
 
-    /// Creates a sibling that is not ejected and shares this breaker with the
-    /// other siblings of its zone.
+    /// Creates a sibling that is not ejected and shares this state with the other
+    /// siblings of its zone.
     #[must_use]
     pub fn in_zone(
         name: InstanceName,
         zone: ZoneName,
         relay_addr: SocketAddr,
-        zone_breaker: Arc<CircuitBreaker>,
+        zone_state: Arc<ZoneState>,
     ) -> Self {
         Self {
             name,
             zone,
             relay_addr,
-            zone_breaker,
+            zone_state,
             created_at: Instant::now(),
             ejected_until_us: AtomicU64::new(0),
             ejections: AtomicU32::new(0),
@@ -101,10 +111,10 @@
         self.relay_addr
     }
 
-    /// Returns the circuit breaker that all siblings of the zone share.
+    /// Returns the state that all siblings of the zone share.
     #[must_use]
-    pub const fn zone_breaker(&self) -> &Arc<CircuitBreaker> {
-        &self.zone_breaker
+    pub const fn zone_state(&self) -> &Arc<ZoneState> {
+        &self.zone_state
     }
 
     /// Ejects the instance for `duration`; never shortens an ejection in
@@ -124,7 +134,7 @@
     /// Records a reply in time.
     pub fn record_reply(&self) {
         self.ejections.store(0, Ordering::Release);
-        self.zone_breaker.record_success();
+        self.zone_state.breaker.record_success();
     }
 
     /// Returns whether the instance is ejected now.
@@ -139,7 +149,7 @@
 /// is one and the zone's circuit breaker is closed.
 #[must_use]
 pub fn choose_available(siblings: &[Arc<Sibling>]) -> Option<Arc<Sibling>> {
-    let is_available = |s: &&Arc<Sibling>| !s.is_ejected() && !s.zone_breaker.is_open();
+    let is_available = |s: &&Arc<Sibling>| !s.is_ejected() && !s.zone_state.breaker.is_open();
     let candidates: Vec<_> = siblings.iter().filter(is_available).collect();
     candidates.choose(&mut rand::rng()).map(|s| Arc::clone(s))
 }
@@ -149,5 +159,5 @@
 #[must_use]
 pub fn choose_for_probe(siblings: &[Arc<Sibling>]) -> Option<Arc<Sibling>> {
     let chosen = siblings.choose(&mut rand::rng())?;
-    chosen.zone_breaker.try_begin_probe().then(|| Arc::clone(chosen))
+    chosen.zone_state.breaker.try_begin_probe().then(|| Arc::clone(chosen))
 }
--- a/crates/endivectl/src/request_log.rs
+++ b/crates/endivectl/src/request_log.rs
@@ -28,7 +28,8 @@
     pub event: String,
 }
 
-/// The log line of one instance about one request.
+/// The log line of one instance about one request: of the instance that received it
+/// from its caller, or of an aggregator to which sub-requests were relayed.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct RequestLogLine {
     /// Timestamp of the line, by the instance's clock.
@@ -55,7 +56,8 @@
         match serde_json::from_str::<serde_json::Value>(line) {
             Ok(json) => Self::parse_message(json["message"].as_str()?, json["time"].as_str()?),
             Err(_) => {
-                let (prefix, message) = line.split_once("[caller] ")?;
+                let (prefix, message) =
+                    line.split_once("[caller] ").or_else(|| line.split_once("[sibling] "))?;
                 Self::parse_message(message, prefix.split_whitespace().next()?)
             }
         }
