--- a/crates/core/src/forward/hedge.rs
+++ b/crates/core/src/forward/hedge.rs
@@ -32,12 +32,6 @@
         Self { delay: Some(latency.get().clamp(min_delay, max_delay)) }
     }
 
-    /// Returns the plan that never sends a hedge.
-    #[must_use]
-    pub const fn disabled() -> Self {
-        Self { delay: None }
-    }
-
     /// Returns how long after the first attempt a hedge is sent, or `None` if
     /// hedging is disabled.
     #[must_use]
--- a/crates/core/src/forward/sharded.rs
+++ b/crates/core/src/forward/sharded.rs
@@ -53,10 +53,7 @@
         abort_handles: HashMap::new(),
     };
     query.start(&relays);
-    match relays.is_empty() {
-        true => query.run().await,
-        false => query.run_with_relays(relay, set, relays).await,
-    }
+    query.run(relay, set, relays).await;
     let ShardedQuery { parts, sub_requests, .. } = query;
     // Cancels the sub-requests that are still open, also at their searchers.
     drop(sub_requests);
@@ -113,34 +110,15 @@
         self.parts.finish_sub_request(result.0, result.1);
     }
 
-    /// Receives parts until the query is finished, without a relay.
-    async fn run(&mut self) {
-        let objective = sleep_until(self.cx.objective_deadline);
-        let deadline = sleep_until(self.cx.deadline);
-        tokio::pin!(objective, deadline);
-        let mut objective_passed = false;
-        while !self.is_finished(objective_passed) {
-            tokio::select! {
-                biased;
-                Some(result) = self.sub_requests.next() => {
-                    if let Ok(result) = result {
-                        self.record_result(result);
-                    }
-                }
-                () = &mut objective, if !objective_passed => objective_passed = true,
-                () = &mut deadline => return,
-            }
-        }
-    }
-
     fn is_finished(&self, objective_passed: bool) -> bool {
         self.parts.is_outcome_final() || (objective_passed && self.parts.has_min_coverage())
     }
 
-    /// Receives parts until the query is finished, some of them through siblings.
+    /// Receives parts until the query is finished, those of relayed shards through
+    /// siblings.
     /// This instance takes over the shards of each sibling whose first reply is
     /// overdue.
-    async fn run_with_relays<R: RelayClient<Head = C::Head>>(
+    async fn run<R: RelayClient<Head = C::Head>>(
         &mut self,
         relay: &R,
         set: &ShardSet,
@@ -156,7 +134,7 @@
         let deadline = sleep_until(cx.deadline);
         let mut events = select_all(relays.iter().cloned().map(open_relay));
         tokio::pin!(take_over_timer, objective, deadline);
-        let (mut objective_passed, mut may_take_over) = (false, true);
+        let (mut objective_passed, mut may_take_over) = (false, !relays.is_empty());
         while !self.is_finished(objective_passed) {
             tokio::select! {
                 biased;
--- a/crates/endivevale/tests/aggregators.rs
+++ b/crates/endivevale/tests/aggregators.rs
@@ -84,7 +84,7 @@
         let mut counts = HashMap::new();
         while let Some(response) = open.join_next().await {
             let response = response.unwrap();
-            *counts.entry((response.status, response.missing_shards as u64)).or_default() += 1;
+            *counts.entry((response.status, response.missing_shards)).or_default() += 1;
         }
         counts
     }
--- a/crates/searcher/src/idle_connections.rs
+++ b/crates/searcher/src/idle_connections.rs
@@ -81,8 +81,9 @@
         http1_connection::connect(searcher.addr(), deadline).await
     }
 
-    /// Keeps a connection idle for the next exchange. Closes it if the searcher
-    /// is leaving or its connections would exceed the instance's share.
+    /// Keeps a connection idle for the next exchange. Closes it if the searcher is
+    /// leaving, if no connections to it are kept open, or if they would exceed the
+    /// instance's share.
     pub fn checkin(&self, searcher: &Searcher, connection: ReadyConnection) {
         let idle = self.idle_queue(searcher.key());
         let open = idle.len() as u32 + searcher.limiter().in_flight();
