--- a/crates/core/src/circuit_breaker.rs
+++ b/crates/core/src/circuit_breaker.rs
@@ -28,7 +28,7 @@
 /// The time between two probes while the breaker is open.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A circuit breaker. It is open once as many requests as [`MAX_FAILURES`] have
+/// A circuit breaker. It is open once four requests have
 /// failed without a success in between, until the next success.
 #[derive(Debug)]
 pub struct CircuitBreaker {
@@ -68,7 +68,7 @@
     }
 
     /// Returns whether the caller should send a probe now. While the breaker is open,
-    /// one caller should in each [`PROBE_INTERVAL`].
+    /// one caller should every half second.
     #[must_use]
     pub fn try_begin_probe(&self) -> bool {
         let (now, due) = (self.now_us(), self.next_probe_us.load(Ordering::Acquire));
--- a/crates/core/src/sibling.rs
+++ b/crates/core/src/sibling.rs
@@ -125,7 +125,7 @@
     }
 
     /// Ejects the instance for `duration`, doubled for each such ejection since its
-    /// last reply in time, [`MAX_DOUBLINGS`] times at most.
+    /// last reply in time, five times at most.
     pub fn eject_doubling(&self, duration: Duration) {
         let doublings = self.ejections.fetch_add(1, Ordering::AcqRel).min(MAX_DOUBLINGS);
         self.eject_for(duration * 2_u32.pow(doublings));
