--- a/crates/core/src/circuit_breaker.rs
+++ b/crates/core/src/circuit_breaker.rs
@@ -28,8 +28,8 @@
 /// The time between two probes while the breaker is open.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A circuit breaker. It is open once four requests have
-/// failed without a success in between, until the next success.
+/// A circuit breaker. It is open once four requests have failed without a success in
+/// between, until the next success.
 #[derive(Debug)]
 pub struct CircuitBreaker {
     created_at: Instant,
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -12,14 +12,13 @@
 
 use endivevale_core::{
     forward::{
-        ConnectError, ExchangeOutcome, ExtraAttempts, ExtraAttemptsGrant, ForwardReply,
-        ForwardSettings, ForwardTransport, Forwarder, RelayClient, RelayError, RelayReplies,
-        RelayReply, RelayReplySink, RelayRequest, RelayServer,
+        ExtraAttempts, ExtraAttemptsGrant, ForwardReply, ForwardSettings, Forwarder, RelayClient,
+        RelayError, RelayReplies, RelayReply, RelayReplySink, RelayRequest, RelayServer,
     },
     intent::{Configuration, InForce},
     layout::{InstanceRecord, SearcherRecord},
     name::{InstanceName, ZoneName},
-    searcher::{Searcher, named_limit::TierInstances},
+    searcher::named_limit::TierInstances,
     sibling::Sibling,
     view::{ViewBuilder, ViewCell},
 };
@@ -31,123 +30,13 @@
 
 use super::sim::{MS, SimTransport, request, zone_name};
 
-/// The time that opening a connection to a searcher takes.
-const HANDSHAKE: Duration = Duration::from_millis(6);
+mod transport;
+
+use transport::{ConnectionCounts, ConnectionTotals, FleetTransport};
 
 /// The time that a message between two instances takes.
 const HOP: Duration = Duration::from_millis(1);
 
-/// How long an idle connection to a searcher stays open.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
-
-/// The connections of all instances to the searchers, and the exchanges on them,
-/// since the start.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct ConnectionTotals {
-    pub opened: u32,
-    pub exchanges: u32,
-    /// The most connections that one searcher had at the same time.
-    pub peak: u32,
-}
-
-impl ConnectionTotals {
-    /// Returns the connections opened for each exchange since an earlier state.
-    pub fn opened_per_exchange_since(self, earlier: Self) -> f64 {
-        f64::from(self.opened - earlier.opened) / f64::from(self.exchanges - earlier.exchanges)
-    }
-}
-
-/// The open connections of each searcher, and the totals.
-#[derive(Debug, Default)]
-pub struct ConnectionCounts {
-    open: HashMap<String, u32>,
-    totals: ConnectionTotals,
-}
-
-impl ConnectionCounts {
-    fn open(&mut self, searcher: &str) {
-        let open = self.open.entry(searcher.to_owned()).or_default();
-        *open += 1;
-        self.totals.opened += 1;
-        self.totals.peak = self.totals.peak.max(*open);
-    }
-
-    fn close(&mut self, searcher: &str) {
-        *self.open.get_mut(searcher).unwrap() -= 1;
-    }
-}
-
-/// A connection to a searcher; closed when dropped.
-#[derive(Debug)]
-pub struct FleetChannel {
-    searcher: String,
-    counts: Arc<Mutex<ConnectionCounts>>,
-}
-
-impl Drop for FleetChannel {
-    fn drop(&mut self) {
-        self.counts.lock().unwrap().close(&self.searcher);
-    }
-}
-
-/// The idle connections to each searcher, by name, and since when.
-type IdleChannels = HashMap<String, Vec<(FleetChannel, Instant)>>;
-
-/// The connections of one instance to the searchers of the simulation.
-#[derive(Debug)]
-pub struct FleetTransport {
-    searchers: Arc<SimTransport>,
-    idle: Mutex<IdleChannels>,
-    counts: Arc<Mutex<ConnectionCounts>>,
-}
-
-impl FleetTransport {
-    fn pop_idle(&self, searcher: &str) -> Option<FleetChannel> {
-        let mut idle = self.idle.lock().unwrap();
-        let channels = idle.get_mut(searcher)?;
-        channels.retain(|(_, since)| since.elapsed() < IDLE_TIMEOUT);
-        channels.pop().map(|(channel, _)| channel)
-    }
-}
-
-impl ForwardTransport for FleetTransport {
-    type Head = ();
-    type ReplyHead = u16;
-    type Channel = FleetChannel;
-
-    async fn open(
-        &self,
-        searcher: &Arc<Searcher>,
-        deadline: Instant,
-    ) -> Result<FleetChannel, ConnectError> {
-        let name = searcher.name().as_str();
-        if let Some(channel) = self.pop_idle(name) {
-            return Ok(channel);
-        }
-        self.searchers.open(searcher, deadline).await?;
-        sleep(HANDSHAKE).await;
-        self.counts.lock().unwrap().open(name);
-        Ok(FleetChannel { searcher: name.to_owned(), counts: Arc::clone(&self.counts) })
-    }
-
-    async fn exchange(
-        &self,
-        channel: FleetChannel,
-        searcher: &Arc<Searcher>,
-        head: &Arc<()>,
-        deadline: Instant,
-    ) -> ExchangeOutcome<u16> {
-        self.counts.lock().unwrap().totals.exchanges += 1;
-        let outcome = self.searchers.exchange((), searcher, head, deadline).await;
-        let mut idle = self.idle.lock().unwrap();
-        let channels = idle.entry(channel.searcher.clone()).or_default();
-        if searcher.keeps_connections() && channels.len() < searcher.connection_share() as usize {
-            channels.push((channel, Instant::now()));
-        }
-        outcome
-    }
-}
-
 /// The relay servers of all instances, by name; removed while an instance does
 /// not take relay requests.
 pub type RelayServers = Arc<Mutex<HashMap<InstanceName, Arc<RelayServer<FleetTransport>>>>>;
@@ -291,11 +180,8 @@
             relay: Some(addr),
         };
         let views = Arc::<ViewCell>::default();
-        let transport = Arc::new(FleetTransport {
-            searchers: Arc::clone(&self.searchers),
-            idle: Mutex::default(),
-            counts: Arc::clone(&self.connections),
-        });
+        let transport = FleetTransport::new(&self.searchers, &self.connections);
+        let transport = Arc::new(transport);
         let settings = ForwardSettings { answer_margin: 14 * MS };
         let forwarder = Forwarder::new(
             Arc::clone(&views),
@@ -328,7 +214,7 @@
     }
 
     pub fn connection_totals(&self) -> ConnectionTotals {
-        self.connections.lock().unwrap().totals
+        self.connections.lock().unwrap().totals()
     }
 
     /// Returns the relay requests that each instance got, in ascending order.
