Take extra attempts back only from a sibling that has them

Cause: when the connection to a sibling failed only after its shards had been taken over, the right to extra attempts was reset, and the end of the relay began the sub-requests once more: three attempts for a shard whose route allows two. Change: the right goes back by compare-and-swap, only from the sibling.

--- a/crates/core/src/forward/relay/client.rs
+++ b/crates/core/src/forward/relay/client.rs
@@ -91,9 +91,15 @@
     }
 
     /// Records that the sibling has not received the request, so that it cannot
-    /// send extra attempts.
+    /// send extra attempts. Does nothing if this instance has taken them before.
     fn take_back(&self) {
-        self.owner.store(ExtraAttemptsOwner::Undecided as u8, Ordering::Release);
+        let (sibling, undecided) =
+            (ExtraAttemptsOwner::Sibling as u8, ExtraAttemptsOwner::Undecided as u8);
+        let taken_back =
+            self.owner.compare_exchange(sibling, undecided, Ordering::AcqRel, Ordering::Acquire);
+        if taken_back.is_err() {
+            log::trace!(target: "sibling", "The extra attempts were not with the sibling.");
+        }
     }
 
     /// Returns what is known of the attempts for the shards after the relay ended
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -49,6 +49,8 @@
     steps: Arc<Mutex<Vec<SiblingStep>>>,
     /// Whether each request fails with [`RelayError::Down`].
     is_down: bool,
+    /// The time after which a request fails if the sibling is down.
+    time_to_fail: Duration,
     /// The number of requests.
     request_count: Arc<AtomicU32>,
     /// The number of requests whose extra attempts were granted.
@@ -74,6 +76,7 @@
         self.request_count.fetch_add(1, Ordering::Relaxed);
         assert!(request.first_reply_within < request.objective_in);
         if self.is_down {
+            sleep(self.time_to_fail).await;
             return Err(RelayError::Down);
         }
         let steps = self.steps.lock().unwrap().clone().into();
@@ -235,6 +238,22 @@
     assert_eq!(relay.request_count.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against more attempts than the route allows when a connection to a sibling
+/// fails only after its shards were taken over.
+#[tokio::test(start_paused = true)]
+async fn sibling_that_is_found_down_late_leads_to_no_further_attempts() {
+    let sim = four_shards();
+    for name in ["s2b", "s2c", "s3b", "s3c"] {
+        sim.transport.set_behaviour(name, Behaviour::ReturnsErrors);
+    }
+    let time_to_fail = 90 * MS;
+    let relay = ScriptedRelay { is_down: true, time_to_fail, ..ScriptedRelay::default() };
+    let result = sim.forwarder_with(relay).forward(request("query")).await;
+    assert!(result.is_err());
+    // One extra attempt for each of the two shards, when they were taken over.
+    assert_eq!(direct_request_count(&sim), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn part_received_twice_is_counted_once() {
     let sim = four_shards();
