--- a/review/tools/src/searcher.rs
+++ b/review/tools/src/searcher.rs
@@ -41,6 +41,8 @@
     /// Additional bytes are sent once in this many responses; 0 for never.
     spoil_each: AtomicU64,
     responses: AtomicU64,
+    /// Whether the process has ended.
+    ended: tokio::sync::watch::Sender<bool>,
 }
 
 /// A searcher that listens on a loopback address until it is dropped.
@@ -79,6 +81,7 @@
             stamps: AtomicU64::new(0),
             spoil_each: AtomicU64::new(0),
             responses: AtomicU64::new(0),
+            ended: tokio::sync::watch::Sender::new(false),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&state)));
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -97,6 +100,12 @@
         store.write(SEARCHER_KIND, &self.state.name, entry);
     }
 
+    /// Ends the searcher: its port refuses connections and the open ones end.
+    pub fn end(&self) {
+        self.task.abort();
+        self.state.ended.send_replace(true);
+    }
+
     /// Removes the entry; the searcher continues to serve.
     pub fn unregister(&self, store: &Store) {
         store.remove(SEARCHER_KIND, &self.state.name);
@@ -114,8 +123,12 @@
         if let Ok((stream, _)) = listener.accept().await {
             let state = Arc::clone(&state);
             tokio::spawn(async move {
-                // An error means that the instance has closed the connection.
-                drop(serve(stream, &state).await);
+                let mut ended = state.ended.subscribe();
+                tokio::select! {
+                    // An error means that the instance has closed the connection.
+                    served = serve(stream, &state) => drop(served),
+                    _ = ended.wait_for(|ended| *ended) => {}
+                }
             });
         }
     }
