--- a/review/tools/src/bin/unidentified.rs
+++ b/review/tools/src/bin/unidentified.rs
@@ -14,7 +14,11 @@
 use tokio::time::{Instant, sleep};
 
 /// How long callers send requests.
-const TRAFFIC: Duration = Duration::from_secs(20);
+const TRAFFIC: Duration = Duration::from_secs(12);
+
+/// When the disruption begins, and how long it lasts: the site file has 5 s.
+const WARM_UP: Duration = Duration::from_secs(3);
+const SPOILED: Duration = Duration::from_secs(5);
 
 /// The callers, each with one connection.
 const CALLERS: usize = 4;
@@ -63,14 +67,19 @@
     if !instance.wait_until_ready(Duration::from_secs(10)).await {
         return Ok(NOT_RUN);
     }
-    if has_trouble() {
-        searchers[0].spoil(SPOIL_EACH);
-    }
     let until = Instant::now() + TRAFFIC;
     let mut tasks = Vec::new();
     for number in 0..CALLERS {
         tasks.push(tokio::spawn(call(instance.caller, number, until, record.clone())));
     }
+    sleep(WARM_UP).await;
+    if has_trouble() {
+        record.line("i-1 begins to send additional bytes");
+        searchers[0].spoil(SPOIL_EACH);
+    }
+    sleep(SPOILED).await;
+    searchers[0].spoil(0);
+    record.line("i-1 is sound again");
     let mut answers = HashMap::new();
     for task in tasks {
         answers.extend(task.await.map_err(std::io::Error::other)?);
