Watch the store from revisions that it has given

Cause: ListingTracker used one number as the revision from which the store is watched and as the version of the listing. A lapsed entry that expired raised it above the store's own revision, and the store's next change was in no reply.

Change: revision and version are revisions of the store only. A local change increases a step, by which one instance orders its own listings. A sibling's listing is applied only if it is newer than what has been read, and is current up to its own version, not to the one that another sibling announced. The list of instances has a version of its own, the revision at which it was read.

Why it works: a watch continues from a revision of the store, so no change lies between; versions of two instances are comparable because no instance makes one up.

Tests: local_expiry_does_not_move_the_revision_of_the_store failed before (revision 12 instead of 11). The tests of the related paths need functions that did not exist before, so they were not seen failing. With this change the whole test run passed.

--- a/crates/core/src/distribution/listing_tracker.rs
+++ b/crates/core/src/distribution/listing_tracker.rs
@@ -13,6 +13,12 @@
 //! Listings that siblings read are applied too, so that an instance that was
 //! cut off from the store continues from what its siblings know.
 //!
+//! Two counters order the content. The revision and the version are revisions
+//! that the store itself has given, so a watch that continues from them misses
+//! nothing, and they are comparable among instances. What an instance changes by
+//! itself, such as removing a lapsed entry, has no revision of the store: it
+//! increases the step, which orders the listings of this instance only.
+//!
 //! # Example
 //!
 //! ```
@@ -35,8 +41,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    distribution::ContentDigest,
     distribution::listing_delta::{Change, ListingDelta},
+    distribution::{ContentDigest, ListingVersions},
     layout::{InstanceRecord, Listing, SearcherRecord, SearcherState},
     name::SearcherName,
 };
@@ -74,12 +80,19 @@
 pub struct ListingTracker {
     entries: BTreeMap<SearcherName, Entry>,
     instances: Vec<InstanceRecord>,
+    /// The store revision at which the instances were read when they last
+    /// changed. Invariant: never decreases.
+    instances_version: u64,
     /// The store revision up to which changes have been applied. Invariant:
-    /// never decreases.
+    /// given by the store, and never decreases.
     revision: u64,
-    /// The revision at the last change of the content. Invariant: at most
-    /// `revision`, and never decreases.
+    /// The store revision at which the store's entries last changed. Invariant:
+    /// at most `revision`, and never decreases.
     version: u64,
+    /// The number of changes under `version` that have no revision of the store.
+    /// Invariant: the pair of `version` and `step` increases with each change of
+    /// the content.
+    step: u64,
     /// When the store last replied to this instance or a sibling.
     last_reply: Option<Instant>,
     /// Whether a store call of this instance has failed since `last_reply`.
@@ -102,12 +115,26 @@
         self.revision
     }
 
-    /// Returns the revision of the last change of the content.
+    /// Returns the store revision at which the store's entries last changed.
     #[must_use]
     pub const fn version(&self) -> u64 {
         self.version
     }
 
+    /// Returns the versions by which siblings compare their listings with this
+    /// one.
+    #[must_use]
+    pub const fn versions(&self) -> ListingVersions {
+        ListingVersions { searchers: self.version, instances: self.instances_version }
+    }
+
+    /// Returns the number of changes under this version that this instance made
+    /// by itself.
+    #[must_use]
+    pub const fn step(&self) -> u64 {
+        self.step
+    }
+
     /// Records that the store replied, whatever the reply was.
     pub fn record_store_reply(&mut self, now: Instant) {
         let is_after_gap = self
@@ -126,18 +153,18 @@
     }
 
     /// Replaces all searchers with the store's complete list of entries, read at
-    /// `revision`; ignores a list older than the current revision. Returns
-    /// whether the content changed.
+    /// `revision`, unless that is older than the current revision, and records a
+    /// reply of the store in any case. Returns whether the content changed.
     pub fn apply_full_list(
         &mut self,
         records: Vec<SearcherRecord>,
         revision: u64,
         now: Instant,
     ) -> bool {
+        self.record_store_reply(now);
         if revision < self.revision {
             return false;
         }
-        self.record_store_reply(now);
         let listed: HashSet<SearcherName> = records.iter().map(|r| r.name.clone()).collect();
         let mut is_changed = self.version == 0;
         for name in self.names_not_in(&listed) {
@@ -175,14 +202,16 @@
         is_changed
     }
 
-    /// Replaces the instances of the tier. Returns whether they changed.
-    pub fn set_instances(&mut self, mut instances: Vec<InstanceRecord>) -> bool {
+    /// Replaces the instances of the tier with those that were read at
+    /// `revision`, unless newer ones are known. Returns whether they changed.
+    pub fn set_instances(&mut self, mut instances: Vec<InstanceRecord>, revision: u64) -> bool {
         instances.sort_by(|a, b| a.name.cmp(&b.name));
-        if self.instances == instances {
+        if revision <= self.instances_version || self.instances == instances {
             return false;
         }
         self.instances = instances;
-        self.version = self.revision;
+        self.instances_version = revision;
+        self.step += 1;
         true
     }
 
@@ -198,28 +227,26 @@
         let previous_len = self.entries.len();
         self.entries.retain(|_, entry| entry.kept_until.is_none_or(|until| now < until));
         let is_changed = self.entries.len() != previous_len;
-        self.advance_revision(self.revision, is_changed);
+        if is_changed {
+            self.step += 1;
+        }
         is_changed
     }
 
-    /// Replaces the content with a listing that a sibling read at `revision`,
-    /// if its version is newer, and records a reply of the store in any case.
-    /// Returns whether the content was replaced.
-    pub fn apply_sibling_listing(
-        &mut self,
-        listing: &Listing,
-        revision: u64,
-        now: Instant,
-    ) -> bool {
+    /// Replaces the instances with those of a sibling's listing if these are
+    /// newer, and the searchers if the listing has changes of the store after the
+    /// current revision. Records a reply of the store in any case. Returns whether
+    /// the searchers were replaced.
+    pub fn apply_sibling_listing(&mut self, listing: &Listing, now: Instant) -> bool {
         self.record_store_reply(now);
-        if listing.version <= self.version {
+        self.set_instances(listing.instances.clone(), listing.instances_version);
+        if listing.version <= self.revision {
+            self.record_sibling_revision(listing.version, listing.version);
             return false;
         }
         let records = listing.searchers.iter().cloned();
         self.entries = records.map(|r| (r.name.clone(), Entry::new(r, now))).collect();
-        self.instances = listing.instances.clone();
-        self.version = listing.version;
-        self.revision = self.revision.max(revision).max(listing.version);
+        self.advance_revision(listing.version, true);
         true
     }
 
@@ -235,8 +262,8 @@
         now: Instant,
     ) -> bool {
         self.record_store_reply(now);
-        if delta.base_version == 0 || delta.base_version != self.version || version <= self.version
-        {
+        let is_next = delta.base_version != 0 && delta.base_version == self.version;
+        if !is_next || version <= self.revision {
             return false;
         }
         if delta.base_digest != self.digest() {
@@ -261,8 +288,8 @@
                 }
             }
         }
-        self.version = version;
-        self.revision = self.revision.max(revision).max(version);
+        self.advance_revision(version, true);
+        self.record_sibling_revision(version, revision);
         true
     }
 
@@ -271,10 +298,20 @@
         ContentDigest::of_list(self.entries.values().map(|entry| &entry.record))
     }
 
-    /// Raises the revision to that of a sibling whose listing has the same
-    /// version, since the content is then current up to there.
-    pub fn raise_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Records that a sibling's listing of this version is current up to
+    /// `revision`.
+    ///
+    /// A version up to the revision of this tracker stands for a change that has
+    /// been applied here too, so the version is raised to it. With the same
+    /// version, the content here is also current up to the sibling's revision.
+    pub fn record_sibling_revision(&mut self, version: u64, revision: u64) {
+        if version > self.version && version <= self.revision {
+            self.version = version;
+            self.step = 0;
+        }
+        if version == self.version {
+            self.revision = self.revision.max(revision);
+        }
     }
 
     /// Returns the content as a listing, for views and siblings.
@@ -282,20 +319,26 @@
     pub fn listing(&self) -> Arc<Listing> {
         Arc::new(Listing {
             version: self.version,
+            step: self.step,
+            instances_version: self.instances_version,
             searchers: self.entries.values().map(|e| e.record.clone()).collect(),
             instances: self.instances.clone(),
         })
     }
 
-    /// Raises the revision to at least `revision`, and the version too if the
-    /// content has changed.
+    /// Raises the revision to one that the store has given. If the content has
+    /// changed, raises the version to it too, or the step if another content
+    /// already has that version.
     fn advance_revision(&mut self, revision: u64, is_changed: bool) {
         self.revision = self.revision.max(revision);
-        if is_changed {
-            // Two changes at the same store revision still need distinct
-            // versions.
-            self.revision = self.revision.max(self.version + 1);
+        if !is_changed {
+            return;
+        }
+        if self.revision > self.version {
             self.version = self.revision;
+            self.step = 0;
+        } else {
+            self.step += 1;
         }
     }
 
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -16,12 +16,14 @@
 pub mod watcher;
 
 mod digest;
+mod listing_versions;
 mod pull_plan;
 mod recent_texts;
 mod tree;
 
 pub use self::{
     digest::ContentDigest,
+    listing_versions::ListingVersions,
     pull_plan::{Announcement, KnownVersions, Pull, PullPlan, STALLED_AFTER},
     recent_texts::RecentTexts,
     tree::{DistributionTree, MAX_CHILDREN},
--- a/crates/core/src/distribution/pull_plan.rs
+++ b/crates/core/src/distribution/pull_plan.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::DistributionTree;
+use super::{DistributionTree, ListingVersions};
 use crate::{intent::ConfigVersion, layout::InstanceRecord};
 
 /// How long an instance that did not answer, or had nothing newer, is passed
@@ -27,8 +27,8 @@
 pub struct KnownVersions {
     /// The version of the configuration in force.
     pub config: ConfigVersion,
-    /// The version of the listing.
-    pub listing: u64,
+    /// The versions of the listing.
+    pub listing: ListingVersions,
 }
 
 /// The versions that an instance has announced to its siblings.
@@ -36,9 +36,10 @@
 pub struct Announcement {
     /// The version of its configuration.
     pub config: ConfigVersion,
-    /// The version of its listing; 0 if none is announced.
-    pub listing: u64,
-    /// The store revision up to which that listing is current; 0 if unknown.
+    /// The versions of its listing; [`ListingVersions::NONE`] if none is
+    /// announced.
+    pub listing: ListingVersions,
+    /// The store revision up to which its searchers are current; 0 if unknown.
     pub store_revision: u64,
     /// The address of the instance for siblings.
     pub source: SocketAddr,
@@ -48,16 +49,17 @@
     /// Returns whether an instance with these versions lacks what is announced.
     #[must_use]
     pub fn is_newer_than(&self, known: KnownVersions) -> bool {
-        self.config > known.config || self.listing > known.listing
+        self.config > known.config || self.listing.has_newer_part_than(known.listing)
     }
 
     /// Returns the higher of each version, with the source of `later`.
     fn merged_with(self, later: Announcement) -> Self {
-        let listing = if later.listing > self.listing { later } else { self };
+        let is_later_newer = later.listing.searchers > self.listing.searchers;
+        let newest = if is_later_newer { later } else { self };
         Self {
             config: self.config.max(later.config),
-            listing: listing.listing,
-            store_revision: listing.store_revision,
+            listing: self.listing.newest_of_each(later.listing),
+            store_revision: newest.store_revision,
             source: later.source,
         }
     }
@@ -158,7 +160,9 @@
     /// Records the end of a pull; `known` are the versions after it.
     pub fn record_end(&mut self, pull: Pull, known: KnownVersions, now: Instant) {
         self.is_running = false;
-        if known.config > pull.known.config || known.listing > pull.known.listing {
+        let has_progressed = known.config > pull.known.config
+            || known.listing.has_newer_part_than(pull.known.listing);
+        if has_progressed {
             self.behind_since = None;
             self.paused_until = None;
             self.pause = MIN_PAUSE;
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -9,8 +9,8 @@
 use endivevale_core::{
     distribution::read_schedule::READ_INTERVAL,
     distribution::{
-        Announcement, ContentDigest, DistributionTree, KnownVersions, MAX_CHILDREN, Pull, PullPlan,
-        RecentTexts, STALLED_AFTER,
+        Announcement, ContentDigest, DistributionTree, KnownVersions, ListingVersions,
+        MAX_CHILDREN, Pull, PullPlan, RecentTexts, STALLED_AFTER,
     },
     intent::ConfigVersion,
     layout::InstanceRecord,
@@ -56,11 +56,16 @@
 }
 
 fn announcement(version: u64, source: SocketAddr) -> Announcement {
-    Announcement { config: ConfigVersion::new(version), listing: 0, store_revision: 0, source }
+    Announcement {
+        config: ConfigVersion::new(version),
+        listing: ListingVersions::NONE,
+        store_revision: 0,
+        source,
+    }
 }
 
 fn known(version: u64) -> KnownVersions {
-    KnownVersions { config: ConfigVersion::new(version), listing: 0 }
+    KnownVersions { config: ConfigVersion::new(version), listing: ListingVersions::NONE }
 }
 
 cases! {
--- a/crates/core/tests/listing_tracker.rs
+++ b/crates/core/tests/listing_tracker.rs
@@ -35,6 +35,17 @@
     SearcherName::try_new(name).unwrap()
 }
 
+fn instance_record(name: &str) -> InstanceRecord {
+    InstanceRecord {
+        name: InstanceName::try_new(name).unwrap(),
+        zone: ZoneName::try_new("a").unwrap(),
+        sibling: "127.0.0.1:1".parse().unwrap(),
+        caller: "127.0.0.1:2".parse().unwrap(),
+        admin: "127.0.0.1:3".parse().unwrap(),
+        relay: None,
+    }
+}
+
 fn listed_searchers(tracker: &ListingTracker) -> Vec<(String, SearcherState)> {
     let listing = tracker.listing();
     listing.searchers.iter().map(|s| (s.name.to_string(), s.state)).collect()
@@ -83,6 +94,89 @@
     assert_eq!(listed_searchers(&tracker).len(), 1);
 }
 
+// Guards against a change that every instance misses: a lapsed entry that
+// expired moved the revision from which the store is watched above the store's
+// own, and the store's next change was not in the reply to that watch.
+#[tokio::test(start_paused = true)]
+async fn local_expiry_does_not_move_the_revision_of_the_store() {
+    let mut tracker = two_searcher_tracker();
+    simulate_outage(&mut tracker, Duration::from_secs(5)).await;
+    tracker.apply_changes(vec![Change::Removed(searcher_name("one"))], 11, Instant::now());
+    let before = tracker.listing();
+    advance(LAPSED_ENTRY_GRACE).await;
+    assert!(tracker.remove_expired(Instant::now()));
+    assert_eq!((tracker.revision(), tracker.version()), (11, 11));
+    // The two contents are still told apart.
+    assert!(tracker.listing().is_newer_than(&before));
+}
+
+// Guards against the same fault by two other local changes: the instances of
+// the tier, and two changes of the store that are read at one revision.
+#[tokio::test(start_paused = true)]
+async fn no_change_moves_the_revision_above_that_of_the_store() {
+    let mut tracker = two_searcher_tracker();
+    let mut previous = tracker.listing();
+    let mut check = |tracker: &ListingTracker| {
+        assert_eq!((tracker.revision(), tracker.version()), (10, 10));
+        let listing = tracker.listing();
+        assert!(listing.is_newer_than(&previous));
+        previous = listing;
+    };
+    assert!(tracker.set_instances(vec![instance_record("e")], 12));
+    check(&tracker);
+    assert!(tracker.apply_changes(
+        vec![Change::Written(leaving_record("one"))],
+        10,
+        Instant::now()
+    ));
+    check(&tracker);
+    assert!(tracker.apply_full_list(vec![live_record("two")], 10, Instant::now()));
+    check(&tracker);
+}
+
+// Guards against missed changes after a pull: the listing of a sibling that lags
+// behind what was announced was stored under the announced revision.
+#[tokio::test(start_paused = true)]
+async fn pulled_listing_is_current_only_up_to_its_own_version() {
+    let mut tracker = ListingTracker::new();
+    assert!(tracker.apply_sibling_listing(&two_searcher_tracker().listing(), Instant::now()));
+    tracker.record_sibling_revision(12, 15);
+    assert_eq!((tracker.revision(), tracker.version()), (10, 10));
+    tracker.record_sibling_revision(10, 14);
+    assert_eq!((tracker.revision(), tracker.version()), (14, 10));
+}
+
+// Guards against an older content that replaces a newer one: an instance that
+// had read the store up to a higher revision took over a sibling's listing
+// because the last change of that was read under a higher version.
+#[tokio::test(start_paused = true)]
+async fn sibling_listing_up_to_the_own_revision_replaces_nothing() {
+    let mut tracker = two_searcher_tracker();
+    tracker.apply_changes(vec![Change::Removed(searcher_name("one"))], 20, Instant::now());
+    tracker.apply_changes(vec![], 30, Instant::now());
+    let mut sibling = two_searcher_tracker();
+    sibling.apply_changes(vec![Change::Written(leaving_record("one"))], 25, Instant::now());
+    assert!(!tracker.apply_sibling_listing(&sibling.listing(), Instant::now()));
+    assert_eq!(listed_searchers(&tracker).len(), 1);
+    // Nothing is newer there, so it is not fetched again.
+    assert!(!sibling.versions().has_newer_part_than(tracker.versions()));
+}
+
+// Guards against instances that go back to an older list of the tier: a read
+// that may be seconds old counted as the newest.
+#[tokio::test(start_paused = true)]
+async fn older_list_of_instances_is_ignored() {
+    let mut tracker = two_searcher_tracker();
+    assert!(tracker.set_instances(vec![instance_record("e")], 12));
+    assert!(!tracker.set_instances(vec![], 11));
+    let mut sibling = two_searcher_tracker();
+    sibling.set_instances(vec![instance_record("d")], 11);
+    tracker.apply_sibling_listing(&sibling.listing(), Instant::now());
+    assert_eq!(tracker.instances(), [instance_record("e")]);
+    sibling.apply_sibling_listing(&tracker.listing(), Instant::now());
+    assert_eq!(sibling.instances(), [instance_record("e")]);
+}
+
 // Searchers renew their entries twice a second, so an outage of 1.5 s is long
 // enough for entries to expire.
 #[tokio::test(start_paused = true)]
@@ -118,7 +212,7 @@
 async fn sibling_drops_an_expired_entry_without_the_reader() {
     let mut reader = two_searcher_tracker();
     let mut sibling = ListingTracker::new();
-    sibling.apply_sibling_listing(&reader.listing(), reader.revision(), Instant::now());
+    sibling.apply_sibling_listing(&reader.listing(), Instant::now());
     let before = reader.listing();
     simulate_outage(&mut reader, Duration::from_secs(5)).await;
     reader.apply_changes(vec![Change::Removed(searcher_name("one"))], 15, Instant::now());
@@ -224,14 +318,7 @@
 #[tokio::test(start_paused = true)]
 async fn delta_is_absent_when_the_instances_differ() {
     let mut new = two_searcher_tracker();
-    new.set_instances(vec![InstanceRecord {
-        name: InstanceName::try_new("e").unwrap(),
-        zone: ZoneName::try_new("a").unwrap(),
-        sibling: "127.0.0.1:1".parse().unwrap(),
-        caller: "127.0.0.1:2".parse().unwrap(),
-        admin: "127.0.0.1:3".parse().unwrap(),
-        relay: None,
-    }]);
+    new.set_instances(vec![instance_record("e")], 10);
     assert_eq!(
         ListingDelta::between(&two_searcher_tracker().listing(), &new.listing()).base_version,
         0
--- a/crates/endivevale/src/forwarding/control/announce.rs
+++ b/crates/endivevale/src/forwarding/control/announce.rs
@@ -45,7 +45,7 @@
             sequence: self.sequence,
             leaving: matches!(self.lifecycle, Lifecycle::Leaving(_)),
             config_version: self.sink.config.version(),
-            listing_version: self.tracker.version(),
+            listing: self.tracker.versions(),
             store_revision: self.tracker.revision(),
             delta,
             receives_from: Vec::new(),
--- a/crates/endivevale/src/forwarding/control/fetch.rs
+++ b/crates/endivevale/src/forwarding/control/fetch.rs
@@ -113,13 +113,13 @@
     }
 
     pub(super) fn known_versions(&self) -> KnownVersions {
-        KnownVersions { config: self.sink.config.version(), listing: self.tracker.version() }
+        KnownVersions { config: self.sink.config.version(), listing: self.tracker.versions() }
     }
 
     fn spawn_pull(&self, addr: SocketAddr, reason: PullReason) {
         let known = KnownState {
             config: self.sink.config.current(),
-            listing: self.tracker.version(),
+            listing: self.tracker.versions(),
             announced: reason.announcement(),
         };
         let (report_tx, counters) = (self.report_tx.clone(), Arc::clone(&self.transfer_counters));
--- a/crates/endivevale/src/forwarding/control/handle.rs
+++ b/crates/endivevale/src/forwarding/control/handle.rs
@@ -19,18 +19,17 @@
             return;
         }
         let now = Instant::now();
-        if self.tracker.apply_sibling_delta(
-            &heartbeat.delta,
-            heartbeat.listing_version,
-            heartbeat.store_revision,
-            now,
-        ) {
+        let (version, revision) = (heartbeat.listing.searchers, heartbeat.store_revision);
+        let is_applied = self.tracker.apply_sibling_delta(&heartbeat.delta, version, revision, now);
+        if is_applied {
             self.clear_pending_delta();
-            self.update_view("a sibling's heartbeat");
         }
+        self.tracker.record_sibling_revision(version, revision);
+        self.tracker.remove_expired(now);
+        self.update_view("a sibling's heartbeat");
         let announcement = Announcement {
             config: heartbeat.config_version,
-            listing: heartbeat.listing_version,
+            listing: heartbeat.listing,
             store_revision: heartbeat.store_revision,
             source: from,
         };
@@ -39,8 +38,7 @@
             return;
         }
         self.tracker.record_store_reply(now);
-        if heartbeat.listing_version == self.tracker.version() {
-            self.tracker.raise_revision(heartbeat.store_revision);
+        if version == self.tracker.version() {
             self.schedule.record_read(now);
         }
     }
@@ -49,8 +47,8 @@
         match report {
             Report::Read(Ok(read)) => self.apply_read(read).await,
             Report::Read(Err(e)) => self.handle_read_failure(&e),
-            Report::Instances(Ok(instances)) => {
-                self.tracker.set_instances(instances);
+            Report::Instances(Ok(list)) => {
+                self.tracker.set_instances(list.records, list.revision);
                 self.update_view("the list of instances in the store");
             }
             Report::Instances(Err(e)) => {
@@ -149,13 +147,16 @@
         }
         // A pull from a seed is no sign that a sibling has just read the store.
         let announced = reason.announcement();
-        if let Some(listing) = fetched.listing {
-            let revision = announced.map_or(0, |announced| announced.store_revision);
-            if self.tracker.apply_sibling_listing(&listing, revision, now) {
-                self.clear_pending_delta();
-            }
+        if let Some(listing) = fetched.listing
+            && self.tracker.apply_sibling_listing(&listing, now)
+        {
+            self.clear_pending_delta();
             self.needs_full_list = false;
         }
+        if let Some(announced) = announced {
+            let (version, revision) = (announced.listing.searchers, announced.store_revision);
+            self.tracker.record_sibling_revision(version, revision);
+        }
         if announced.is_some_and(|announced| !announced.is_newer_than(self.known_versions())) {
             self.schedule.record_read(now);
         }
--- a/crates/endivevale/src/forwarding/control/mod.rs
+++ b/crates/endivevale/src/forwarding/control/mod.rs
@@ -103,7 +103,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ViewInputs {
     config: ConfigVersion,
-    listing: u64,
+    /// The version and the step of the listing.
+    listing: (u64, u64),
     instances: u32,
 }
 
--- a/crates/endivevale/src/forwarding/control/publish.rs
+++ b/crates/endivevale/src/forwarding/control/publish.rs
@@ -24,7 +24,7 @@
         let instances = self.update_instances();
         let inputs = ViewInputs {
             config: self.sink.config.version(),
-            listing: self.tracker.version(),
+            listing: (self.tracker.version(), self.tracker.step()),
             instances,
         };
         if self.last_inputs == Some(inputs) {
@@ -85,8 +85,9 @@
     let leaving = listing.searchers.iter().filter(|s| s.state == SearcherState::Leaving).count();
     log::info!(
         target: "platform",
-        "View inputs changed: listing={} revision={revision} searchers={} leaving={leaving} instances={instances} source={source:?}.",
+        "View inputs changed: listing={} step={} revision={revision} searchers={} leaving={leaving} instances={instances} source={source:?}.",
         listing.version,
+        listing.step,
         listing.searchers.len(),
     );
 }
--- a/crates/endivevale/src/forwarding/store_reads.rs
+++ b/crates/endivevale/src/forwarding/store_reads.rs
@@ -8,7 +8,7 @@
 };
 use endivevale_sibling::state_sync::FetchedState;
 use endivevale_store::registry::{
-    ConfigReadResult, RegistryError, SearcherChanges, SearcherList, ServiceRegistry,
+    ConfigReadResult, InstanceList, RegistryError, SearcherChanges, SearcherList, ServiceRegistry,
 };
 use tokio::{
     sync::mpsc,
@@ -27,7 +27,7 @@
     /// The result of a read of the store.
     Read(Result<StoreRead, RegistryError>),
     /// The result of a read of the instances.
-    Instances(Result<Vec<InstanceRecord>, RegistryError>),
+    Instances(Result<InstanceList, RegistryError>),
     /// The newer configuration and listing of a sibling.
     Pulled(FetchedState, PullReason),
     /// A pull failed; `true` if nothing listened at the address, or no reply
--- a/crates/sibling/src/state_sync/client.rs
+++ b/crates/sibling/src/state_sync/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use endivevale_core::{
-    distribution::{Announcement, ContentDigest},
+    distribution::{Announcement, ContentDigest, ListingVersions},
     intent::{ConfigVersion, Configuration, InForce},
     layout::Listing,
 };
@@ -29,8 +29,8 @@
 pub struct KnownState {
     /// The configuration in force.
     pub config: Option<Arc<Configuration<InForce>>>,
-    /// The version of the listing; 0 if there is none.
-    pub listing: u64,
+    /// The versions of the listing.
+    pub listing: ListingVersions,
     /// What the instance was told of; `None` if it asks for anything newer.
     pub announced: Option<Announcement>,
 }
--- a/crates/sibling/src/state_sync/server.rs
+++ b/crates/sibling/src/state_sync/server.rs
@@ -168,7 +168,11 @@
     /// listing out if the reply is too large with it.
     fn encode_reply(&self, req: &StateRequest) -> Result<Vec<u8>, WireError> {
         let config = self.registers.config.current().filter(|c| c.version() > req.config);
-        let listing = self.registers.listing.current().filter(|l| l.version > req.listing);
+        let listing = self
+            .registers
+            .listing
+            .current()
+            .filter(|l| l.versions().has_newer_part_than(req.listing));
         let config = config.map(|config| self.config_transfer(&config, req)).transpose()?;
         let config = config.map(|transfer| ConfigTransfer::clone(&transfer));
         let listing = listing.map(|listing| encode_listing(&listing)).transpose()?;
--- a/crates/sibling/tests/state_sync.rs
+++ b/crates/sibling/tests/state_sync.rs
@@ -7,7 +7,7 @@
 use endivevale_cases::cases;
 use endivevale_core::{
     distribution::register::{ConfigRegister, ListingRegister},
-    distribution::{Announcement, ContentDigest},
+    distribution::{Announcement, ContentDigest, ListingVersions},
     intent::{
         Accepted, CallerLimits, ConfigVersion, Configuration, Intent, OptimizationGoal, Rank,
     },
@@ -90,7 +90,7 @@
     fn announcement(&self, version: u64) -> Announcement {
         Announcement {
             config: ConfigVersion::new(version),
-            listing: 0,
+            listing: ListingVersions::NONE,
             store_revision: 0,
             source: self.addr,
         }
--- a/crates/store/src/registry.rs
+++ b/crates/store/src/registry.rs
@@ -63,6 +63,15 @@
     pub records: Vec<SearcherRecord>,
 }
 
+/// All instances of the tier with an entry in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceList {
+    /// The revision of the store at which the instances were read.
+    pub revision: u64,
+    /// The entries of the instances.
+    pub records: Vec<InstanceRecord>,
+}
+
 /// Changes of the searchers' entries up to a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SearcherChanges {
@@ -98,9 +107,7 @@
     ) -> impl Future<Output = Result<SearcherChanges, RegistryError>> + Send;
 
     /// Reads the entries of all instances of the tier. They may be seconds old.
-    fn list_instances(
-        &self,
-    ) -> impl Future<Output = Result<Vec<InstanceRecord>, RegistryError>> + Send;
+    fn list_instances(&self) -> impl Future<Output = Result<InstanceList, RegistryError>> + Send;
 
     /// Writes the entry of this instance.
     fn register(
