Add lapsed searchers after a start within the grace period

Cause: an instance that was started during the outage lists only what has been registered again.

Change: after its first reply of the store it asks a sibling for its listing and contact; in the grace period after an outage it adds the searchers that it has not known as lapsed. It adds none that it has removed.

Tests: started_instance_adds_the_lapsed_searchers_of_a_sibling fails without add_lapsed; listing_of_a_started_instance_removes_no_lapsed_searcher guards the siblings.

--- a/crates/core/src/distribution/listing_tracker.rs
+++ b/crates/core/src/distribution/listing_tracker.rs
@@ -13,7 +13,8 @@
 //! listing, the entries that the store has are applied like a list of the store.
 //! Whether a missing entry has lapsed is decided by each instance from its own
 //! [`StoreContact`], so an instance that mistakes its own cut for an outage
-//! affects no other.
+//! affects no other. Lapsed entries of a sibling are added only if this tracker
+//! has not known the searcher, as after a start within the grace period.
 //!
 //! Two counters order the content. The revision and the version are revisions
 //! that the store itself has given, so a watch that continues from them misses
@@ -297,9 +298,10 @@
         is_applied
     }
 
-    /// Applies a sibling's listing: the instances if they are newer, and the entries
-    /// that the store had if the listing has changes after the current revision.
-    /// Returns whether the store's entries were applied.
+    /// Applies a sibling's listing: the instances if they are newer, the entries
+    /// that the store had if the listing has changes after the current revision,
+    /// and, in the grace period after an outage, the searchers that this tracker
+    /// has not known. Returns whether the store's entries were applied.
     fn apply_sibling_listing(&mut self, listing: &Listing, now: Instant) -> bool {
         self.set_instances(listing.instances.clone(), listing.instances_version);
         let is_newer = listing.version > self.revision;
@@ -309,9 +311,27 @@
         } else {
             self.record_sibling_revision(listing.version, listing.version);
         }
+        self.add_lapsed(listing, now);
         is_newer
     }
 
+    /// Adds the searchers of a sibling's listing that this tracker has not known
+    /// as lapsed, if the store has just recovered from an outage.
+    fn add_lapsed(&mut self, listing: &Listing, now: Instant) {
+        if !self.is_in_grace_period(now) {
+            return;
+        }
+        for record in listing.searchers.iter().filter(|r| r.state != SearcherState::Leaving) {
+            let is_known = self.entries.contains_key(&record.name)
+                || self.removed.is_leaving(&record.name, record.incarnation);
+            if !is_known {
+                let record = SearcherRecord { state: SearcherState::Lapsed, ..record.clone() };
+                self.entries.insert(record.name.clone(), record);
+                self.step += 1;
+            }
+        }
+    }
+
     /// Applies a delta from a sibling that leads from the version and the
     /// entries of this tracker to `version`, with which the sibling is current up
     /// to `revision`; ignores a delta from any other version or other entries.
--- a/crates/core/tests/listing_outages.rs
+++ b/crates/core/tests/listing_outages.rs
@@ -10,7 +10,7 @@
 use endivevale_cases::cases;
 use endivevale_core::{
     distribution::listing_delta::{Change, ListingDelta},
-    distribution::listing_tracker::ListingTracker,
+    distribution::listing_tracker::{LAPSED_ENTRY_GRACE, ListingTracker},
     distribution::store_contact::{ContactReport, GapReport, StoreContact},
     layout::SearcherState,
 };
@@ -86,6 +86,49 @@
     assert_eq!(listed_searchers(&other)[0], ("one".to_owned(), SearcherState::Lapsed));
 }
 
+/// Returns a tracker that went through an outage in which the entry "one" expired,
+/// and one of an instance that was started after it and read the store.
+async fn experienced_and_started() -> (ListingTracker, ListingTracker) {
+    let mut experienced = two_searcher_tracker();
+    simulate_outage(&mut experienced, OUTAGE).await;
+    let mut started = ListingTracker::new();
+    started.apply_full_list(vec![live_record("two")], 11, Instant::now());
+    (experienced, started)
+}
+
+// Guards against refused requests after an outage: an instance that was started
+// meanwhile listed only what had been renewed, and all took its listing over.
+#[tokio::test(start_paused = true)]
+async fn listing_of_a_started_instance_removes_no_lapsed_searcher() {
+    let (mut experienced, started) = experienced_and_started().await;
+    assert!(apply_state_of(&mut experienced, &started));
+    assert_eq!(listed_searchers(&experienced)[0], ("one".to_owned(), SearcherState::Lapsed));
+    advance(LAPSED_ENTRY_GRACE).await;
+    assert!(experienced.remove_expired(Instant::now()));
+    assert!(!lists(&experienced, "one"));
+}
+
+// The same fault at the instance that was started.
+#[tokio::test(start_paused = true)]
+async fn started_instance_adds_the_lapsed_searchers_of_a_sibling() {
+    let (experienced, mut started) = experienced_and_started().await;
+    assert!(started.should_compare(Instant::now()));
+    assert!(!apply_state_of(&mut started, &experienced));
+    assert_eq!(listed_searchers(&started)[0], ("one".to_owned(), SearcherState::Lapsed));
+    advance(LAPSED_ENTRY_GRACE).await;
+    started.remove_expired(Instant::now());
+    assert!(!lists(&started, "one"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn removed_searcher_is_not_added_from_a_sibling() {
+    let (experienced, mut started) = experienced_and_started().await;
+    started.apply_full_list(vec![live_record("one"), live_record("two")], 12, Instant::now());
+    started.apply_changes(removal_of("one"), 13, Instant::now());
+    apply_state_of(&mut started, &experienced);
+    assert!(!lists(&started, "one"));
+}
+
 // The store has no searcher like that at the next read, although it has at each
 // end of the time between.
 #[tokio::test(start_paused = true)]
