Bound what the messages of all peers hold together

What operators reported: a searcher sent bytes without end, the caller kept them all and ran out of memory. Here each reply was bounded (64 KiB and 4 MiB) and ended with its deadline, but nothing bounded the sum over all connections, and other readers had no bound at all.

Found, reader by reader: replies to queries and of the store were read whole whatever their size; the pages of a list could go on for ever; callers' bodies and relay messages had no time limit once begun; a relay message held what it announced before it came; replies of one relay request could go on until the deadline; state replies were encoded before their turn.

Change: core::byte_budget, a budget for the replies of searchers, one for the requests of callers and two for relay messages, each 32 MiB beyond the first 16 KiB of each message, so that usual messages always get through. Bodies are read by endivevale_socket::read_body. Without budget left a caller gets 503 with Retry-After, not run.

Tests: bytes_without_end of caller, sibling and store, broken_replies and transport of searcher. The other kinds (heads, trailers, chunk extensions, interim replies) were bounded before. Not measured: the memory of a process under such peers.

--- a/crates/caller/src/forward_server.rs
+++ b/crates/caller/src/forward_server.rs
@@ -12,12 +12,18 @@
 use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use endivevale_core::{intent::CallerLimits, lifecycle::Phase, lifecycle::PhaseHandle};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use endivevale_core::{
+    byte_budget::{ByteBudget, MAX_REQUEST_BYTES_HELD},
+    intent::CallerLimits,
+    lifecycle::Phase,
+    lifecycle::PhaseHandle,
+};
+use endivevale_socket::{BodyError, read_body};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -26,7 +32,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::yield_now,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::InFlightCounter;
@@ -34,6 +40,9 @@
 /// The delay after a failed `accept` call before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The time within which the body of a request must come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The smallest buffer size for request heads that hyper accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -77,8 +86,12 @@
         let (close_tx, close_rx) = watch::channel(false);
         let (accepting, open_connections) =
             (Arc::<InFlightCounter>::default(), Arc::<InFlightCounter>::default());
-        let cx =
-            Arc::new(Context { handler, phase, open_connections: Arc::clone(&open_connections) });
+        let cx = Arc::new(Context {
+            handler,
+            phase,
+            request_budget: ByteBudget::new(MAX_REQUEST_BYTES_HELD),
+            open_connections: Arc::clone(&open_connections),
+        });
         let accepting_guard = accepting.track();
         tokio::spawn(async move {
             accept_connections(listener, cx, close_rx).await;
@@ -116,6 +129,8 @@
 struct Context<H> {
     handler: Arc<H>,
     phase: PhaseHandle,
+    /// The budget of the bodies of all requests.
+    request_budget: ByteBudget,
     /// Counts the open connections.
     open_connections: Arc<InFlightCounter>,
 }
@@ -198,16 +213,18 @@
     let received = Instant::now();
     let limit = cx.handler.limits().max_body_bytes;
     let (head, body) = req.into_parts();
-    let mut res = match Limited::new(body, limit).collect().await {
-        Ok(body) => {
+    let reading = read_body(body, limit, &cx.request_budget);
+    let mut res = match timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => {
             // Lets hyper poll the socket first: if the caller has already
             // disconnected, hyper drops this future here and no sub-request is
             // sent.
             yield_now().await;
-            let req = Request::from_parts(head, body.to_bytes());
+            let req = Request::from_parts(head, body);
             cx.handler.handle(req, received).await
         }
-        Err(e) => body_error_response(&*e),
+        Ok(Err(e)) => body_error_response(&e),
+        Err(_) => body_timeout_response(),
     };
     if cx.phase.get() == Phase::Leaving {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -216,14 +233,34 @@
 }
 
 /// Builds the response to a request whose body could not be read completely:
-/// 413 if it is over the limit, 400 otherwise. Both close the connection.
-fn body_error_response(e: &(dyn std::error::Error + 'static)) -> Response<Full<Bytes>> {
-    let status = if e.is::<LengthLimitError>() {
-        StatusCode::PAYLOAD_TOO_LARGE
-    } else {
-        log::debug!(target: "caller", "Could not read a request body: {e}; answering 400.");
-        StatusCode::BAD_REQUEST
+/// 413 if it is over the limit, 503 if the instance holds too many bytes of other
+/// requests, 400 otherwise.
+fn body_error_response(e: &BodyError) -> Response<Full<Bytes>> {
+    let status = match e {
+        BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::BudgetExhausted => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::Broken(_) => StatusCode::BAD_REQUEST,
     };
+    log::debug!(target: "caller", "Could not read a request body: {e}; answering {status}.");
+    let mut res = closing_response(status);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        res.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    res
+}
+
+/// Builds the response to a request whose body did not come in time.
+fn body_timeout_response() -> Response<Full<Bytes>> {
+    log::debug!(
+        target: "caller",
+        "A request body did not come within {} ms; answering 408.",
+        BODY_TIMEOUT.as_millis()
+    );
+    closing_response(StatusCode::REQUEST_TIMEOUT)
+}
+
+/// Builds an empty response that closes the connection.
+fn closing_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut res = Response::new(Full::default());
     *res.status_mut() = status;
     res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/core/src/byte_budget.rs
+++ b/crates/core/src/byte_budget.rs
@@ -13,12 +13,12 @@
 //!
 //! let budget = ByteBudget::new(1000);
 //! let mut first = budget.lease();
-//! assert!(first.try_grow_to(FREE_BYTES + 1000).is_ok());
+//! assert!(first.try_add(FREE_BYTES + 1000).is_ok());
 //! let mut second = budget.lease();
-//! assert!(second.try_grow_to(FREE_BYTES).is_ok());
-//! assert!(second.try_grow_to(FREE_BYTES + 1).is_err());
+//! assert!(second.try_add(FREE_BYTES).is_ok());
+//! assert!(second.try_add(1).is_err());
 //! drop(first);
-//! assert!(second.try_grow_to(FREE_BYTES + 1).is_ok());
+//! assert!(second.try_add(1).is_ok());
 //! ```
 
 use std::{
@@ -74,7 +74,7 @@
     /// Returns a lease for one message, which holds no bytes yet.
     #[must_use]
     pub fn lease(&self) -> ByteLease {
-        ByteLease { left: Arc::clone(&self.left), held: 0 }
+        ByteLease { left: Arc::clone(&self.left), received: 0, held: 0 }
     }
 
     /// Returns the bytes that are left.
@@ -88,25 +88,29 @@
 #[derive(Debug)]
 pub struct ByteLease {
     left: Arc<AtomicUsize>,
-    /// The bytes beyond [`FREE_BYTES`].
+    /// The bytes of the message that were received.
+    received: usize,
+    /// The bytes that were taken from the budget. Invariant: those of `received`
+    /// beyond [`FREE_BYTES`].
     held: usize,
 }
 
 impl ByteLease {
-    /// Takes the bytes that a message of this size needs, beyond those that it
-    /// holds already.
+    /// Adds bytes that were received, and takes them from the budget if the
+    /// message is larger than [`FREE_BYTES`].
     ///
     /// # Errors
     ///
     /// [`BudgetExhausted`] if the budget has fewer left. The lease then holds what
     /// it held before.
-    pub fn try_grow_to(&mut self, message_bytes: usize) -> Result<(), BudgetExhausted> {
-        let needed = message_bytes.saturating_sub(FREE_BYTES).saturating_sub(self.held);
-        let taken = self.left.fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
-            left.checked_sub(needed)
-        });
+    pub fn try_add(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        let received = self.received + bytes;
+        let needed = received.saturating_sub(FREE_BYTES) - self.held;
+        let taken = self
+            .left
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| left.checked_sub(needed));
         taken.map_err(|_| BudgetExhausted)?;
-        self.held += needed;
+        (self.received, self.held) = (received, self.held + needed);
         Ok(())
     }
 
--- a/crates/searcher/src/http1_connection.rs
+++ b/crates/searcher/src/http1_connection.rs
@@ -21,6 +21,7 @@
 
 use bytes::{Bytes, BytesMut};
 use endivevale_core::{
+    byte_budget::{BudgetExhausted, ByteBudget},
     forward::ConnectError,
     searcher::connection::{Connection, Opening, Ready},
 };
@@ -73,6 +74,14 @@
     ReplyTooLarge,
     /// More interim replies came than the limit allows.
     TooManyInterimReplies,
+    /// The instance holds too many bytes of other replies.
+    BudgetExhausted,
+}
+
+impl From<BudgetExhausted> for HttpExchangeError {
+    fn from(_: BudgetExhausted) -> Self {
+        HttpExchangeError::BudgetExhausted
+    }
 }
 
 impl std::fmt::Display for HttpExchangeError {
@@ -93,6 +102,7 @@
             HttpExchangeError::TooManyInterimReplies => {
                 write!(f, "over {MAX_INTERIM_REPLIES} interim replies came before the reply")
             }
+            HttpExchangeError::BudgetExhausted => BudgetExhausted.fmt(f),
         }
     }
 }
@@ -151,8 +161,8 @@
     idle < channel.idle_limit && channel.is_open()
 }
 
-/// Sends a request and receives its reply. Returns the reply, and the connection
-/// if it can be reused.
+/// Sends a request and receives its reply, whose body counts against `budget`.
+/// Returns the reply, and the connection if it can be reused.
 ///
 /// # Errors
 ///
@@ -161,10 +171,11 @@
 pub async fn exchange(
     mut connection: ReadyConnection,
     req: Request<Full<Bytes>>,
+    budget: &ByteBudget,
 ) -> Result<(Response<Bytes>, Option<ReadyConnection>), HttpExchangeError> {
     let channel = connection.channel_mut();
     let (head, body) = channel.send(req).await?.into_parts();
-    let body = channel.read_body(body).await?;
+    let body = channel.read_body(body, budget).await?;
     channel.idle_limit = parse_idle_limit(&head.headers);
     let is_reusable = !has_connection_close(&head.headers) && channel.is_open();
     let reply = Response::from_parts(head, body);
@@ -205,7 +216,13 @@
         response.await
     }
 
-    async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, HttpExchangeError> {
+    /// Reads a body while driving the connection.
+    async fn read_body(
+        &mut self,
+        mut body: Incoming,
+        budget: &ByteBudget,
+    ) -> Result<Bytes, HttpExchangeError> {
+        let mut lease = budget.lease();
         let mut data = BytesMut::new();
         loop {
             let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
@@ -222,15 +239,15 @@
             });
             match frame.await? {
                 Some(Ok(frame)) => {
-                    if let Ok(chunk) = frame.into_data() {
-                        data.extend_from_slice(&chunk);
-                    }
-                    if data.len() > MAX_BODY_BYTES {
+                    let Ok(chunk) = frame.into_data() else { continue };
+                    if data.len() + chunk.len() > MAX_BODY_BYTES {
                         return Err(HttpExchangeError::ReplyTooLarge);
                     }
+                    lease.try_add(chunk.len())?;
+                    data.extend_from_slice(&chunk);
                 }
                 Some(Err(e)) => return Err(HttpExchangeError::Http(e)),
-                None => return Ok(data.freeze()),
+                None => return Ok(lease.attach(data.freeze())),
             }
         }
     }
--- a/crates/searcher/tests/broken_replies.rs
+++ b/crates/searcher/tests/broken_replies.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use endivevale_cases::cases;
+use endivevale_core::byte_budget::{ByteBudget, FREE_BYTES};
 use endivevale_searcher::http1_connection::{self, HttpExchangeError};
+use endivevale_standin::endless_peer::EndlessPeer;
+use futures::future::join_all;
 use http_body_util::Full;
 use hyper::{Request, Response};
 use tokio::{
@@ -37,9 +40,16 @@
 }
 
 async fn exchange(addr: SocketAddr) -> Result<Response<Bytes>, HttpExchangeError> {
+    exchange_within(addr, &ByteBudget::new(usize::MAX)).await
+}
+
+async fn exchange_within(
+    addr: SocketAddr,
+    budget: &ByteBudget,
+) -> Result<Response<Bytes>, HttpExchangeError> {
     let connection = http1_connection::connect(addr, Instant::now() + DEADLINE).await.unwrap();
     let req = Request::get("/x").header("host", "h").body(Full::default()).unwrap();
-    http1_connection::exchange(connection, req).await.map(|(reply, _)| reply)
+    http1_connection::exchange(connection, req, budget).await.map(|(reply, _)| reply)
 }
 
 cases! {
@@ -78,3 +88,49 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-a: bbbbbbbbbbbbbbbb\r\n"
     ),
 }
+
+/// The budget of the tests of many exchanges, in bytes.
+const BUDGET: usize = 1024 * 1024;
+
+// Guards against a process that runs out of memory: each reply had a limit of its
+// own, but nothing bounded what the replies of all connections held together.
+#[test]
+fn replies_of_all_connections_share_a_budget() {
+    Runtime::new().unwrap().block_on(async {
+        let budget = ByteBudget::new(BUDGET);
+        let endless = EndlessPeer::start(b"HTTP/1.1 200 OK\r\n\r\n", b"good").await.unwrap();
+        let exchanges = (0..30).map(|_| exchange_within(endless.addr(), &budget));
+        let results = timeout(DEADLINE, join_all(exchanges)).await.unwrap();
+        let is_exhausted = |r: &Result<_, _>| matches!(r, Err(HttpExchangeError::BudgetExhausted));
+        assert!(results.iter().all(is_exhausted), "{results:?}");
+        assert_eq!(budget.left(), BUDGET);
+    });
+}
+
+// The searchers that are sound must not be affected by those that are not.
+#[test]
+fn reply_of_usual_size_needs_no_budget() {
+    Runtime::new().unwrap().block_on(async {
+        let exhausted = ByteBudget::new(0);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {FREE_BYTES}\r\n\r\n");
+        let reply = [head.into_bytes(), vec![b'x'; FREE_BYTES]].concat();
+        let addr = start_searcher(reply, b"").await;
+        let reply = exchange_within(addr, &exhausted).await.unwrap();
+        assert_eq!(reply.body().len(), FREE_BYTES);
+    });
+}
+
+#[test]
+fn reply_holds_its_bytes_until_it_is_dropped() {
+    Runtime::new().unwrap().block_on(async {
+        let budget = ByteBudget::new(BUDGET);
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n";
+        let addr = start_searcher([head.as_bytes(), &[b'x'; 100_000]].concat(), b"").await;
+        let reply = exchange_within(addr, &budget).await.unwrap();
+        let part = reply.body().slice(..10);
+        drop(reply);
+        assert_eq!(budget.left(), BUDGET - (100_000 - FREE_BYTES));
+        drop(part);
+        assert_eq!(budget.left(), BUDGET);
+    });
+}
--- a/crates/searcher/tests/http1_connection.rs
+++ b/crates/searcher/tests/http1_connection.rs
@@ -8,15 +8,16 @@
 use bytes::Bytes;
 use endivevale_cases::cases;
 use endivevale_core::{
+    byte_budget::ByteBudget,
     name::{SearcherName, ZoneName},
     searcher::{Searcher, SearcherKey},
 };
 use endivevale_searcher::{
     IdleConnections,
-    http1_connection::{self, HttpExchangeError},
+    http1_connection::{self, HttpExchangeError, ReadyConnection},
 };
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{Request, Response};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -61,6 +62,13 @@
     replies.len()
 }
 
+async fn exchange(
+    connection: ReadyConnection,
+) -> Result<(Response<Bytes>, Option<ReadyConnection>), HttpExchangeError> {
+    let budget = ByteBudget::new(usize::MAX);
+    http1_connection::exchange(connection, request(), &budget).await
+}
+
 fn request() -> Request<Full<Bytes>> {
     Request::get("/x").header("host", "h").body(Full::default()).unwrap()
 }
@@ -76,7 +84,7 @@
             let replies: &'static [&'static str] = Box::leak(Box::new([reply]));
             let (addr, _closed) = start_searcher(replies).await;
             let connection = http1_connection::connect(addr, deadline()).await.unwrap();
-            match http1_connection::exchange(connection, request()).await {
+            match exchange(connection).await {
                 Ok((reply, _)) => assert_eq!(Some(&reply.body()[..]), expected.map(str::as_bytes)),
                 Err(e) => assert_eq!(None, expected, "{e}"),
             }
@@ -94,10 +102,10 @@
 async fn can_reuse_connection(replies: &'static [&'static str]) -> bool {
     let (addr, _closed) = start_searcher(replies).await;
     let connection = http1_connection::connect(addr, deadline()).await.unwrap();
-    let (_, connection) = http1_connection::exchange(connection, request()).await.unwrap();
+    let (_, connection) = exchange(connection).await.unwrap();
     let Some(connection) = connection else { return false };
     sleep(Duration::from_millis(50)).await;
-    http1_connection::exchange(connection, request()).await.is_ok()
+    exchange(connection).await.is_ok()
 }
 
 #[tokio::test]
@@ -122,7 +130,7 @@
     let replies: &'static [&'static str] = Box::leak(Box::new([two_replies, OK_REPLY]));
     let (addr, _closed) = start_searcher(replies).await;
     let connection = http1_connection::connect(addr, deadline()).await.unwrap();
-    let (reply, connection) = http1_connection::exchange(connection, request()).await.unwrap();
+    let (reply, connection) = exchange(connection).await.unwrap();
     assert_eq!(&reply.body()[..], b"good");
     assert!(connection.is_none());
 }
@@ -131,7 +139,7 @@
 async fn dropping_an_exchange_closes_its_connection() {
     let (addr, mut closed) = start_searcher(&["", ""]).await;
     let connection = http1_connection::connect(addr, deadline()).await.unwrap();
-    let exchange = http1_connection::exchange(connection, request());
+    let exchange = exchange(connection);
     assert!(timeout(Duration::from_millis(50), exchange).await.is_err());
     assert_eq!(timeout(Duration::from_secs(1), closed.recv()).await.unwrap(), Some(1));
 }
@@ -150,7 +158,7 @@
     );
     for _ in 0..3 {
         let connection = idle_connections.checkout(&searcher, deadline()).await.unwrap();
-        let (reply, connection) = http1_connection::exchange(connection, request()).await.unwrap();
+        let (reply, connection) = exchange(connection).await.unwrap();
         assert_eq!(reply.status(), 200);
         if let Some(connection) = connection {
             idle_connections.checkin(&searcher, connection);
@@ -165,11 +173,11 @@
 async fn request_on_a_closed_connection_fails_as_unsent_or_http_error() {
     let (addr, mut closed) = start_searcher(&[OK_REPLY]).await;
     let connection = http1_connection::connect(addr, deadline()).await.unwrap();
-    let (_, connection) = http1_connection::exchange(connection, request()).await.unwrap();
+    let (_, connection) = exchange(connection).await.unwrap();
     closed.recv().await.unwrap();
     if let Some(connection) = connection {
         sleep(Duration::from_millis(50)).await;
-        let result = http1_connection::exchange(connection, request()).await;
+        let result = exchange(connection).await;
         assert!(matches!(result, Err(HttpExchangeError::Unsent | HttpExchangeError::Http(_))));
     }
 }
--- a/crates/sibling/src/relay/client.rs
+++ b/crates/sibling/src/relay/client.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use crossbeam_queue::ArrayQueue;
 use endivevale_core::{
+    byte_budget::{ByteBudget, ByteLease, MAX_RELAY_BYTES_HELD},
     forward::{RelayClient, RelayError, RelayReplies, RelayReply, RelayRequest},
     sibling::Sibling,
 };
@@ -28,12 +29,18 @@
 #[derive(Debug)]
 pub struct TcpRelayClient<C> {
     idle_by_addr: ArcSwap<HashMap<SocketAddr, IdleConnections>>,
+    /// The budget of the replies of all siblings.
+    reply_budget: ByteBudget,
     codec: std::marker::PhantomData<fn() -> C>,
 }
 
 impl<C> Default for TcpRelayClient<C> {
     fn default() -> Self {
-        Self { idle_by_addr: ArcSwap::default(), codec: std::marker::PhantomData }
+        Self {
+            idle_by_addr: ArcSwap::default(),
+            reply_budget: ByteBudget::new(MAX_RELAY_BYTES_HELD),
+            codec: std::marker::PhantomData,
+        }
     }
 }
 
@@ -110,7 +117,7 @@
             );
             return Err(RelayError::Lost);
         }
-        Ok(TcpRelayReplies { stream: Some(stream), idle })
+        Ok(TcpRelayReplies { stream: Some(stream), lease: self.reply_budget.lease(), idle })
     }
 }
 
@@ -120,6 +127,8 @@
 pub struct TcpRelayReplies {
     /// Invariant: `Some` until the last reply or an error.
     stream: Option<TcpStream>,
+    /// The bytes of all replies to the request.
+    lease: ByteLease,
     /// The queue that the connection is returned to after the last reply.
     idle: IdleConnections,
 }
@@ -127,7 +136,7 @@
 impl RelayReplies for TcpRelayReplies {
     async fn next(&mut self) -> Result<RelayReply, RelayError> {
         let mut stream = self.stream.take().ok_or(RelayError::Lost)?;
-        let reply = match read_relay_reply(&mut stream).await {
+        let reply = match read_relay_reply(&mut stream, &mut self.lease).await {
             Ok(reply) => reply,
             Err(e) => {
                 log::debug!(target: "sibling", "Could not read a sibling's relay reply: {e}.");
@@ -157,7 +166,10 @@
     }
 }
 
-async fn read_relay_reply(stream: &mut TcpStream) -> Result<RelayReply, ExchangeError> {
-    let message = read_message(stream, MAX_RELAY_BYTES).await?;
+async fn read_relay_reply(
+    stream: &mut TcpStream,
+    lease: &mut ByteLease,
+) -> Result<RelayReply, ExchangeError> {
+    let message = read_message(stream, MAX_RELAY_BYTES, lease).await?;
     Ok(decode_relay_reply(&message)?)
 }
--- a/crates/sibling/src/relay/server.rs
+++ b/crates/sibling/src/relay/server.rs
@@ -2,8 +2,12 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use endivevale_core::forward::{
-    ExtraAttempts, ExtraAttemptsGrant, ForwardTransport, RelayReply, RelayReplySink, RelayServer,
+use endivevale_core::{
+    byte_budget::{ByteBudget, ByteLease, MAX_RELAY_BYTES_HELD},
+    forward::{
+        ExtraAttempts, ExtraAttemptsGrant, ForwardTransport, RelayReply, RelayReplySink,
+        RelayServer,
+    },
 };
 use tokio::{
     net::{
@@ -26,6 +30,9 @@
 /// Maximum number of requests that are served concurrently.
 const MAX_CONCURRENT_REQUESTS: u32 = 512;
 
+/// Maximum size of a grant, in bytes.
+const MAX_GRANT_BYTES: usize = 16;
+
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -64,6 +71,7 @@
     relay_server: Arc<RelayServer<C>>,
     permits: RelayPermits,
 ) {
+    let budget = ByteBudget::new(MAX_RELAY_BYTES_HELD);
     loop {
         let (stream, peer_addr) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -85,8 +93,10 @@
         }
         endivevale_socket::set_tcp_options(&stream);
         let (relay_server, permits) = (Arc::clone(&relay_server), permits.clone());
+        let budget = budget.clone();
         tokio::spawn(async move {
-            if let Err(e) = serve_connection::<H, C>(stream, &relay_server, &permits).await {
+            let serving = serve_connection::<H, C>(stream, &relay_server, &permits, &budget);
+            if let Err(e) = serving.await {
                 log::debug!(target: "sibling", "The relay connection from {peer_addr} ended: {e}.");
             }
         });
@@ -100,11 +110,14 @@
     stream: TcpStream,
     relay_server: &RelayServer<C>,
     permits: &RelayPermits,
+    budget: &ByteBudget,
 ) -> Result<(), ExchangeError> {
     let (mut reader, writer) = stream.into_split();
     let mut sink = TcpReplySink { writer };
     loop {
-        let message = read_message(&mut reader, MAX_RELAY_BYTES).await?;
+        // Held until the request has been served.
+        let mut lease = budget.lease();
+        let message = read_message(&mut reader, MAX_RELAY_BYTES, &mut lease).await?;
         // The last reply to the request before may have crossed its grant.
         if is_grant(&message) {
             continue;
@@ -122,7 +135,7 @@
             biased;
             // Polled first, so that no searcher gets a sub-request of a request
             // that was cancelled before it was read.
-            ended = watch_client(&mut reader, grant) => return ended,
+            ended = watch_client(&mut reader, grant, budget.lease()) => return ended,
             () = served => {}
         }
     }
@@ -136,13 +149,14 @@
 async fn watch_client(
     reader: &mut OwnedReadHalf,
     grant: ExtraAttemptsGrant,
+    mut lease: ByteLease,
 ) -> Result<(), ExchangeError> {
     // Waiting without reading loses no bytes when the request ends meanwhile.
     let mut byte = [0];
     if reader.peek(&mut byte).await? == 0 {
         return Ok(());
     }
-    if !is_grant(&read_message(reader, MAX_RELAY_BYTES).await?) {
+    if !is_grant(&read_message(reader, MAX_GRANT_BYTES, &mut lease).await?) {
         return Err(WireError::Malformed.into());
     }
     grant.grant();
--- a/crates/sibling/src/state_sync/framing.rs
+++ b/crates/sibling/src/state_sync/framing.rs
@@ -2,12 +2,13 @@
 
 use std::{io, time::Duration};
 
+use endivevale_core::byte_budget::ByteLease;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     time::timeout,
 };
 
-use super::{ExchangeError, PROGRESS_TIMEOUT};
+use super::{EXCHANGE_TIMEOUT, ExchangeError, PROGRESS_TIMEOUT};
 use crate::wire::WireError;
 
 /// Size of the length prefix of a message, in bytes.
@@ -24,20 +25,34 @@
     stream.write_all(&frame).await
 }
 
-/// Reads a message of at most `max_bytes` bytes.
+/// Reads a message of at most `max_bytes` bytes, which must be complete within
+/// [`EXCHANGE_TIMEOUT`] after its length. The bytes count against `lease` as they
+/// come, whatever length was announced.
 ///
 /// # Errors
 ///
-/// Returns [`WireError::Oversized`] if the length prefix is larger, and an I/O
-/// error if the connection fails or ends before the message is complete.
+/// Returns [`WireError::Oversized`] if the announced length is larger or the
+/// budget of the lease is exhausted, [`ExchangeError::TimedOut`] if the message is
+/// not complete in time, and an I/O error if the connection fails or ends before.
 pub(crate) async fn read_message(
     stream: &mut (impl AsyncReadExt + Unpin),
     max_bytes: usize,
+    lease: &mut ByteLease,
 ) -> Result<Vec<u8>, ExchangeError> {
     let len = read_len(stream, max_bytes).await?;
-    let mut message = vec![0; len];
-    stream.read_exact(&mut message).await?;
-    Ok(message)
+    let reading = async {
+        let mut message = Vec::new();
+        let mut rest = stream.take(len as u64);
+        while message.len() < len {
+            let read = rest.read_buf(&mut message).await?;
+            if read == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+            lease.try_add(read).map_err(|_| WireError::Oversized)?;
+        }
+        Ok(message)
+    };
+    timeout(EXCHANGE_TIMEOUT, reading).await?
 }
 
 /// Reads a message as [`read_message`] does, of which the first bytes must come
--- a/crates/sibling/src/state_sync/server.rs
+++ b/crates/sibling/src/state_sync/server.rs
@@ -19,7 +19,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{EXCHANGE_TIMEOUT, ExchangeError, REPLY_WAIT, compression, framing};
+use super::{EXCHANGE_TIMEOUT, ExchangeError, PROGRESS_TIMEOUT, REPLY_WAIT, compression, framing};
 use crate::{
     drop_counters::DropCounters,
     heartbeat::SiblingAddrs,
@@ -142,16 +142,18 @@
     /// bytes.
     async fn serve_connection(&self, mut stream: TcpStream) -> Result<u64, ExchangeError> {
         endivevale_socket::set_tcp_options(&stream);
-        let req = framing::read_message(&mut stream, MAX_REQUEST_BYTES).await?;
+        let req =
+            framing::read_progressing_message(&mut stream, MAX_REQUEST_BYTES, PROGRESS_TIMEOUT)
+                .await?;
         let req = wire::decode_state_request(&req)?;
         if let Some(announced) = req.announced {
             self.pass_on(announced);
             // A reply after the wait has what there is by then.
             drop(timeout(REPLY_WAIT, self.wait_for(announced)).await);
         }
-        let message = self.encode_reply(&req)?;
-        // Closed only if the semaphore is, which never happens.
+        // Fails only if the semaphore is closed, which never happens.
         let _permit = self.reply_permits.acquire().await;
+        let message = self.encode_reply(&req)?;
         framing::write_message(&mut stream, &message).await?;
         Ok(message.len() as u64)
     }
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -1,4 +1,5 @@
-//! Socket options of every TCP connection of the tier.
+//! What every TCP connection of the tier has in common: socket options, and bounds
+//! on the HTTP bodies that are read from it.
 //!
 //! A connection does not fail by itself when the peer loses power, or when a
 //! device on the path, such as a firewall, drops its state of the connection.
@@ -16,11 +17,15 @@
 //! # }
 //! ```
 
+mod body;
+
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+pub use self::body::{BodyError, read_body};
+
 /// Time for which written bytes may stay unacknowledged before the connection
 /// is closed. A healthy peer in the same region acknowledges within
 /// milliseconds.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use endivevale_core::{layout::Listing, rate_limiter::RateLimiter};
+use http_body_util::{BodyExt, Limited};
 use reqwest::{
-    Client, Method, RequestBuilder, Response, StatusCode,
+    Body, Client, Method, RequestBuilder, Response, StatusCode,
     header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH},
     redirect, retry,
 };
@@ -18,6 +19,13 @@
 /// Maximum size of an object in the store, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 1_000_000;
 
+/// Maximum size of the body of a reply, in bytes. A page of objects has about
+/// 1 MB.
+const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Maximum size of the listing of searchers and instances, in bytes.
+const MAX_LISTING_BYTES: usize = 32 * 1024 * 1024;
+
 /// Timeout of a call. A watch adds the time that it waits for a new version.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -89,6 +97,8 @@
     client: Client,
     base_url: String,
     budget: RateLimiter,
+    /// Maximum size of the body of a reply, in bytes.
+    max_reply_bytes: usize,
 }
 
 impl StoreClient {
@@ -115,9 +125,16 @@
             client,
             base_url: base_url.trim_end_matches('/').to_owned(),
             budget: RateLimiter::new(CALLS_PER_SECOND, Duration::from_secs(1), CALL_BURST),
+            max_reply_bytes: MAX_REPLY_BYTES,
         }
     }
 
+    /// Accepts replies with bodies up to this size, in bytes.
+    #[must_use]
+    fn with_max_reply_bytes(self, max_reply_bytes: usize) -> Self {
+        Self { max_reply_bytes, ..self }
+    }
+
     /// Creates a request builder for a path, which may include a query string.
     pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
         self.client.request(method, format!("{}{path}", self.base_url))
@@ -139,12 +156,12 @@
             return Err(StoreError::BudgetExhausted);
         }
         let exchange = async {
-            let response = request.send().await?;
-            StoreReply::read(response).await
+            let response = request.send().await.map_err(|e| e.without_url().to_string())?;
+            StoreReply::read(response, self.max_reply_bytes).await
         };
         match timeout(call_timeout, exchange).await {
             Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(e)) => Err(StoreError::NoReply(e.without_url().to_string())),
+            Ok(Err(reason)) => Err(StoreError::NoReply(reason)),
             Err(_) => Err(StoreError::NoReply("timed out".to_owned())),
         }
     }
@@ -165,7 +182,7 @@
     /// Panics if the HTTP client cannot be created.
     #[must_use]
     pub fn new(base_url: &str) -> Self {
-        Self { http: StoreClient::new(base_url) }
+        Self { http: StoreClient::new(base_url).with_max_reply_bytes(MAX_LISTING_BYTES) }
     }
 
     fn object_request(&self, method: Method, kind: &str, name: &str) -> RequestBuilder {
@@ -276,9 +293,13 @@
 }
 
 impl StoreReply {
-    async fn read(response: Response) -> Result<Self, reqwest::Error> {
+    /// Reads a reply with a body of at most `max_bytes` bytes. Returns why it could
+    /// not be read otherwise.
+    async fn read(response: Response, max_bytes: usize) -> Result<Self, String> {
         let (status, version) = (response.status(), version_from_etag(response.headers()));
-        Ok(Self { status, version, body: response.bytes().await? })
+        let body = Limited::new(Body::from(response), max_bytes).collect().await;
+        let body = body.map_err(|e| format!("the body was not read to its end: {e}"))?;
+        Ok(Self { status, version, body: body.to_bytes() })
     }
 
     fn into_object(self) -> Result<Option<Object>, StoreError> {
