Tell a searcher that is not listed from one that leaves

What callers saw: nothing was seen; the review suspected it. A searcher whose entry went and came back with the same start could be recorded as leaving for good at an instance that got a relay reply just then, which costs coverage.

Cause: an instance marks a searcher that it no longer lists as leaving, for the requests of that moment. A relay reply named all that were so marked, and the requesting instance recorded that for the incarnation.

Test: relay_reply_names_no_searcher_that_is_only_unlisted failed before: both replies named the searcher.

--- a/crates/core/src/forward/relay/server.rs
+++ b/crates/core/src/forward/relay/server.rs
@@ -167,7 +167,7 @@
 fn leaving_searchers(view: &View, shards: &[ServiceName]) -> Vec<(SearcherName, u64)> {
     let services = shards.iter().filter_map(|shard| view.service(shard));
     let searchers = services.flat_map(|service| service.searchers());
-    let leaving = searchers.filter(|s| s.is_leaving());
+    let leaving = searchers.filter(|s| s.is_known_to_leave());
     leaving.map(|s| (s.name().clone(), s.incarnation())).collect()
 }
 
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -324,6 +324,27 @@
     assert_eq!((late.parts.len(), late.parts[0].0, late.is_last), (1, 3, true));
 }
 
+// Guards against a searcher that is recorded as leaving for good: its entry had
+// gone and come back, and a relay reply of that moment said that it leaves.
+#[tokio::test(start_paused = true)]
+async fn relay_reply_names_no_searcher_that_is_only_unlisted() {
+    let mut sim = four_shards();
+    *sim.transport.searcher("s3b").service_time.lock().unwrap() = 90 * MS;
+    let server =
+        RelayServer::new(Arc::clone(&sim.views), Arc::clone(&sim.transport), zone_name("b"));
+    let serving = tokio::spawn(async move {
+        let mut collected = CollectedReplies::default();
+        server.serve(relay_request(&["s3"]), no_grant(), &mut collected).await;
+        collected.0
+    });
+    sleep(10 * MS).await;
+    sim.records.retain(|record| record.name.as_str() != "s3b");
+    sim.publish_view();
+    let replies = serving.await.unwrap();
+    assert_eq!(replies.last().unwrap().parts.len(), 1);
+    assert!(replies.iter().all(|reply| reply.leaving.is_empty()), "{replies:?}");
+}
+
 // Guards against a request that runs at two searchers although the requesting
 // sibling may send it to a second one itself.
 cases! {
