--- a/crates/standin/src/endless_peer.rs
+++ b/crates/standin/src/endless_peer.rs
@@ -92,11 +92,12 @@
 
 async fn send(mut stream: TcpStream, texts: &Texts, sent: &AtomicU64) -> std::io::Result<()> {
     let mut buf = [0; 4096];
-    if !texts.reply.is_empty() {
-        stream.read(&mut buf).await?;
+    if !texts.reply.is_empty() && stream.read(&mut buf).await? > 0 {
         stream.write_all(&texts.reply).await?;
     }
-    stream.read(&mut buf).await?;
+    if stream.read(&mut buf).await? == 0 {
+        return Ok(());
+    }
     stream.write_all(&texts.first).await?;
     if texts.block.is_empty() {
         // Silent until the other side closes.
