Take a long gap for an outage without a failed call

The instance whose read succeeded first had not called the store in the outage, as its turn came only then, and most others had not either, so for them the gap had no failed call and was no outage.

Test: long_gap_is_an_outage_without_a_failed_call failed before (the searcher was dropped).

--- a/crates/core/src/distribution/store_contact.rs
+++ b/crates/core/src/distribution/store_contact.rs
@@ -7,7 +7,8 @@
 //! store was away only while no instance had a reply. Siblings therefore report
 //! their last gaps to each other, and an instance narrows its own gaps to what
 //! both have in common. What remains counts as an outage if it is long enough and
-//! a call failed within it.
+//! a call failed within it, or if it is so long that many readers in a row must have
+//! failed.
 //!
 //! # Example
 //!
@@ -41,6 +42,12 @@
 pub const STORE_OUTAGE_THRESHOLD: Duration =
     READ_INTERVAL.saturating_add(READ_STAGGER.saturating_mul(4));
 
+/// The length of a gap that counts as an outage although no failed call is known.
+/// In a large tier, only the first readers call the store in an outage; by then
+/// fifteen in a row have had no reply.
+pub const CERTAIN_OUTAGE_THRESHOLD: Duration =
+    READ_INTERVAL.saturating_add(READ_STAGGER.saturating_mul(15));
+
 /// The maximum number of gaps that are kept and reported.
 pub const MAX_GAPS: usize = 4;
 
@@ -82,9 +89,18 @@
 }
 
 impl Gap {
+    fn duration(&self) -> Duration {
+        self.ended.saturating_duration_since(self.began)
+    }
+
     /// Returns whether the gap is longer than those between two reads.
     fn is_long(&self) -> bool {
-        self.ended.saturating_duration_since(self.began) >= STORE_OUTAGE_THRESHOLD
+        self.duration() >= STORE_OUTAGE_THRESHOLD
+    }
+
+    fn is_outage(&self) -> bool {
+        let is_certain = self.duration() >= CERTAIN_OUTAGE_THRESHOLD;
+        self.is_long() && (is_certain || self.last_failure.is_some())
     }
 
     /// Adds the time of a failed call, if that is within the gap.
@@ -257,7 +273,7 @@
     /// `None` if no gap that is kept was one.
     #[must_use]
     pub fn outage_end(&self) -> Option<Instant> {
-        self.gaps.iter().rev().find(|gap| gap.last_failure.is_some()).map(|gap| gap.ended)
+        self.gaps.iter().rev().find(|gap| gap.is_outage()).map(|gap| gap.ended)
     }
 
     /// Returns whether this instance should ask a sibling what that knows of the
--- a/crates/core/tests/listing_outages.rs
+++ b/crates/core/tests/listing_outages.rs
@@ -86,6 +86,21 @@
     assert_eq!(listed_searchers(&other)[0], ("one".to_owned(), SearcherState::Lapsed));
 }
 
+// Guards against refused requests in a large tier: the first instance to read the
+// store after an outage had not called it before, nor had most of the others, so
+// none of them took the gap for an outage.
+#[tokio::test(start_paused = true)]
+async fn long_gap_is_an_outage_without_a_failed_call() {
+    let (mut reader, mut other) = (two_searcher_tracker(), two_searcher_tracker());
+    let before = reader.listing();
+    advance(OUTAGE).await;
+    reader.apply_changes(removal_of("one"), 11, Instant::now());
+    assert_eq!(listed_searchers(&reader)[0], ("one".to_owned(), SearcherState::Lapsed));
+    let delta = ListingDelta::between(&before, &reader.listing());
+    assert!(other.apply_heartbeat(&heartbeat(&reader, delta), Instant::now()));
+    assert_eq!(listed_searchers(&other)[0], ("one".to_owned(), SearcherState::Lapsed));
+}
+
 /// Returns a tracker that went through an outage in which the entry "one" expired,
 /// and one of an instance that was started after it and read the store.
 async fn experienced_and_started() -> (ListingTracker, ListingTracker) {
