Bound the documents of queries and of instances too

Cause: the budget covered forwarded requests only. A query document was bounded to 4 MiB, but not the sum of all, nor the time; the operators' command read the documents of instances whole.

Found and open: the heads of the query interface and the admin endpoints are rocket's (about 400 KiB each, no time limit).

--- a/crates/caller/src/forward_server.rs
+++ b/crates/caller/src/forward_server.rs
@@ -35,14 +35,11 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::InFlightCounter;
+use crate::{BODY_TIMEOUT, InFlightCounter};
 
 /// The delay after a failed `accept` call before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The time within which the body of a request must come.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The smallest buffer size for request heads that hyper accepts, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
--- a/crates/socket/src/body.rs
+++ b/crates/socket/src/body.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use endivevale_core::byte_budget::{BudgetExhausted, ByteBudget};
 use http_body_util::BodyExt;
+use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// The reason why a body was not read to its end.
 #[derive(Debug)]
@@ -35,6 +36,31 @@
     }
 }
 
+/// Reads a stream to its end, of at most `max_bytes` bytes. The bytes count against
+/// `budget` until the last reference to them is dropped.
+///
+/// # Errors
+///
+/// A [`BodyError`]. The rest of the stream is not read.
+pub async fn read_stream(
+    mut stream: impl AsyncRead + Unpin,
+    max_bytes: usize,
+    budget: &ByteBudget,
+) -> Result<Bytes, BodyError> {
+    let mut lease = budget.lease();
+    let mut data = BytesMut::new();
+    loop {
+        let read = stream.read_buf(&mut data).await.map_err(|e| BodyError::Broken(e.into()))?;
+        if read == 0 {
+            return Ok(lease.attach(data.freeze()));
+        }
+        if data.len() > max_bytes {
+            return Err(BodyError::TooLarge(max_bytes));
+        }
+        lease.try_add(read)?;
+    }
+}
+
 /// Reads a body of at most `max_bytes` bytes. The bytes count against `budget`
 /// until the last reference to them is dropped. Trailers are discarded.
 ///
--- a/crates/socket/src/lib.rs
+++ b/crates/socket/src/lib.rs
@@ -24,7 +24,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-pub use self::body::{BodyError, read_body};
+pub use self::body::{BodyError, read_body, read_stream};
 
 /// Time for which written bytes may stay unacknowledged before the connection
 /// is closed. A healthy peer in the same region acknowledges within
