Log outages of the store, and count no call that was not made

Cause: whether an instance takes a time without replies for an outage decides which searchers it keeps, and no line said so. A call that the instance's own rate limit suppressed counted as a failed call of the store.

Change: one line when an outage is recognised or turns out to have been none. A suppressed call is no failure of the store.

--- a/crates/endivevale/src/forwarding/control/handle.rs
+++ b/crates/endivevale/src/forwarding/control/handle.rs
@@ -2,9 +2,15 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use endivevale_core::{distribution::Announcement, distribution::membership::Heartbeat};
+use endivevale_core::{
+    distribution::Announcement, distribution::membership::Heartbeat,
+    distribution::store_contact::STORE_OUTAGE_THRESHOLD,
+};
 use endivevale_sibling::state_sync::FetchedState;
-use endivevale_store::registry::{RegistryError, ServiceRegistry};
+use endivevale_store::{
+    StoreError,
+    registry::{RegistryError, ServiceRegistry},
+};
 use tokio::time::Instant;
 
 use super::ControlTask;
@@ -115,8 +121,11 @@
                 "Reading the store failed; the last known state stays in use: {e}."
             );
         }
-        self.tracker.record_store_failure(now);
-        self.publish_store_contact();
+        // A call that was not made says nothing of the store.
+        if *e != RegistryError::Store(StoreError::BudgetExhausted) {
+            self.tracker.record_store_failure(now);
+            self.publish_store_contact();
+        }
         self.schedule.record_failure(now);
     }
 
@@ -132,8 +141,19 @@
         }
     }
 
-    fn publish_store_contact(&self) {
+    /// Publishes the contact with the store for replies to siblings, and logs
+    /// when an outage is recognised, or turns out to have been none.
+    fn publish_store_contact(&mut self) {
         self.store_contact.store(Arc::new(self.tracker.contact().clone()));
+        let outage_end = self.tracker.contact().outage_end();
+        let is_new = match (self.logged_outage_end, outage_end) {
+            (Some(logged), Some(end)) => end > logged + STORE_OUTAGE_THRESHOLD,
+            (logged, end) => logged.is_some() != end.is_some(),
+        };
+        if is_new {
+            self.logged_outage_end = outage_end;
+            log_outage(outage_end);
+        }
     }
 
     fn record_pull_end(&mut self, reason: PullReason) {
@@ -169,3 +189,17 @@
         self.update_view("a sibling");
     }
 }
+
+fn log_outage(outage_end: Option<Instant>) {
+    match outage_end {
+        Some(end) => log::info!(
+            target: "platform",
+            "The store was away until {} ms ago; entries that it lost meanwhile are kept for a while.",
+            end.elapsed().as_millis()
+        ),
+        None => log::info!(
+            target: "platform",
+            "No outage of the store is known: siblings had contact in the last one, or it is long past."
+        ),
+    }
+}
--- a/crates/endivevale/src/forwarding/control/mod.rs
+++ b/crates/endivevale/src/forwarding/control/mod.rs
@@ -99,6 +99,8 @@
     pending_delta: (ListingDelta, u32),
     /// The inputs of the view published last.
     last_inputs: Option<ViewInputs>,
+    /// The end of the outage of the store that was logged last.
+    logged_outage_end: Option<Instant>,
 }
 
 /// The versions and the number of instances that a view was built from; a new
@@ -163,6 +165,7 @@
             announced: Arc::default(),
             pending_delta: (ListingDelta::default(), 0),
             last_inputs: None,
+            logged_outage_end: None,
         }
     }
 
