Bound the tests of endless bytes by the limits, not by a time

Chunks of four bytes take more time than a call has, so the call ends by its timeout, which is right; the time that the test asked for both calls was shorter than their timeouts. A rerun showed a second fault of the test: it sent 53.0 MB where 50.3 were allowed, since the system lets the sockets of a connection hold up to 36 MiB.

Change: the time is that of both timeouts and more, chunks of 64 bytes are a case of their own, and the bounds on bytes are the stated limits and 64 MiB for each connection's sockets, in all four packages.

--- a/crates/standin/src/endless_peer.rs
+++ b/crates/standin/src/endless_peer.rs
@@ -13,6 +13,10 @@
     net::{TcpListener, TcpStream},
 };
 
+/// What the sockets of one connection hold at most, in bytes, if the system lets
+/// their buffers grow.
+pub const MAX_SOCKET_BYTES: u64 = 64 * 1024 * 1024;
+
 /// A server that answers the first bytes on each connection with a text, and goes
 /// on with another one until the connection closes.
 #[derive(Debug)]
