Fetch the same list of instances only once

What callers saw: nothing.

The list of instances got a version of its own. An instance that had read the same list earlier than a sibling stayed behind by version: taking over an equal list did not raise it. It fetched the listing again and again, and each 1.5 s read the store by itself.

Change: the version is taken over with an equal list too.

Tests: same_instances_that_a_sibling_read_later_are_fetched_once failed before.

--- a/crates/core/src/distribution/listing_tracker/siblings.rs
+++ b/crates/core/src/distribution/listing_tracker/siblings.rs
@@ -56,7 +56,7 @@
     /// and, in the grace period after an outage, the searchers that this tracker
     /// has not known. Returns whether the store's entries were applied.
     fn apply_sibling_listing(&mut self, listing: &Listing, now: Instant) -> bool {
-        self.set_instances(listing.instances.clone(), listing.instances_version);
+        self.take_over_instances(listing);
         let is_newer = listing.version > self.revision;
         if is_newer {
             self.replace_stored(listing.stored_searchers().cloned().collect(), now);
@@ -68,6 +68,20 @@
         is_newer
     }
 
+    /// Takes over the instances of a sibling's listing if they are newer. The
+    /// version is taken over also if they are the same: the sibling has read the
+    /// same list later, and nothing is left to fetch.
+    fn take_over_instances(&mut self, listing: &Listing) {
+        if listing.instances_version <= self.instances_version {
+            return;
+        }
+        self.instances_version = listing.instances_version;
+        if self.instances != listing.instances {
+            self.instances.clone_from(&listing.instances);
+            self.step += 1;
+        }
+    }
+
     /// Adds the searchers of a sibling's listing that this tracker has not known
     /// as lapsed, if the store has just recovered from an outage.
     fn add_lapsed(&mut self, listing: &Listing, now: Instant) {
--- a/crates/core/tests/convergence/checks.rs
+++ b/crates/core/tests/convergence/checks.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Checks that no instance fetched anything from another one although all had
+    /// the same content for a long time.
+    pub fn assert_no_requests(&self, requests: usize) {
+        assert_eq!(requests, 0, "seed {}: listings are fetched without end", self.seed);
+    }
+
     /// Checks that the instance has the store's content.
     pub fn assert_converged(&self, instance: &Instance, store: &Store) {
         let (seed, n) = (self.seed, instance.number);
--- a/crates/core/tests/convergence/instance.rs
+++ b/crates/core/tests/convergence/instance.rs
@@ -44,6 +44,7 @@
 /// An instance.
 pub struct Instance {
     pub number: usize,
+    incarnation: u64,
     pub tracker: ListingTracker,
     pub started: Instant,
     /// Until when no message reaches it or the store.
@@ -61,10 +62,12 @@
 }
 
 impl Instance {
-    pub fn start(number: usize) -> Self {
+    /// Starts an instance; `incarnation` increases with each start.
+    pub fn start(number: usize, incarnation: u64) -> Self {
         let now = Instant::now();
         Self {
             number,
+            incarnation,
             tracker: ListingTracker::new(),
             started: now,
             cut_until: now,
@@ -120,13 +123,16 @@
             return vec![];
         }
         // A full list is also read when the store has no changes any more.
-        if self.tracker.revision() == 0 || rng.random_bool(0.05) {
+        if self.tracker.revision() == 0 || (store.compacts && rng.random_bool(0.05)) {
             let records = store.entries.values().cloned().collect();
             self.tracker.apply_full_list(records, store.revision, now);
         } else {
             let changes = store.changes_after(self.tracker.revision());
             self.tracker.apply_changes(changes, store.revision, now);
         }
+        if !store.compacts || rng.random_bool(0.25) {
+            self.tracker.set_instances(store.tier.clone(), store.revision);
+        }
         self.tracker.remove_expired(now);
         let mut sent = self.heartbeats();
         if self.tracker.should_compare(now) {
@@ -141,7 +147,7 @@
         let listing = self.tracker.listing();
         let heartbeat = Heartbeat {
             sender: InstanceName::try_new(&format!("entry-{}", self.number)).unwrap(),
-            incarnation: self.started.elapsed().as_millis() as u64,
+            incarnation: self.incarnation,
             sequence: self.sequence,
             leaving: false,
             config_version: ConfigVersion::NONE,
--- a/crates/core/tests/convergence/mod.rs
+++ b/crates/core/tests/convergence/mod.rs
@@ -18,6 +18,10 @@
 const STEP: Duration = Duration::from_millis(50);
 const STEPS_WITH_TROUBLES: u32 = 900;
 const CALM_STEPS: u32 = 240;
+
+/// The steps at the end in which no listing may be fetched any more.
+const LATE_STEPS: u32 = 60;
+
 const INSTANCES: usize = 5;
 
 /// The maximum number of instances that are cut off, or were started a short time
@@ -44,7 +48,11 @@
     troubles: Troubles,
     store: Store,
     instances: Vec<Instance>,
+    /// The number of instances that were started anew.
+    starts: u64,
     in_flight: Vec<Sent>,
+    /// The requests for a listing that were sent since they were last counted.
+    late_requests: usize,
     checks: Checks,
 }
 
@@ -53,8 +61,17 @@
     pub fn new(seed: u64, troubles: Troubles) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let store = Store::with_searchers(8, &mut rng);
-        let instances: Vec<_> = (0..INSTANCES).map(Instance::start).collect();
-        Self { rng, troubles, store, instances, in_flight: vec![], checks: Checks::new(seed) }
+        let instances: Vec<_> = (0..INSTANCES).map(|n| Instance::start(n, 0)).collect();
+        Self {
+            rng,
+            troubles,
+            store,
+            instances,
+            starts: 0,
+            in_flight: vec![],
+            late_requests: 0,
+            checks: Checks::new(seed),
+        }
     }
 
     /// Runs the part of the history in which troubles begin.
@@ -67,9 +84,15 @@
 
     /// Runs until troubles that have begun are over, and a bounded time longer.
     pub async fn run_calm(&mut self) {
+        self.store.compacts = false;
+        self.troubles = Troubles::default();
         for _ in 0..CALM_STEPS {
             self.step().await;
         }
+        self.late_requests = 0;
+        for _ in 0..LATE_STEPS {
+            self.step().await;
+        }
     }
 
     /// Checks that every instance has the store's content.
@@ -77,6 +100,7 @@
         for instance in &self.instances {
             self.checks.assert_converged(instance, &self.store);
         }
+        self.checks.assert_no_requests(self.late_requests);
     }
 
     fn begin_troubles(&mut self) {
@@ -96,7 +120,8 @@
         }
         if self.troubles.restarts && self.rng.random_bool(0.01) {
             let n = self.rng.random_range(0..INSTANCES);
-            self.instances[n] = Instance::start(n);
+            self.starts += 1;
+            self.instances[n] = Instance::start(n, self.starts);
             self.checks.forget(n);
         }
     }
@@ -130,6 +155,7 @@
     /// Puts messages on their way, each to one instance.
     fn send(&mut self, messages: &mut Vec<(usize, usize, Message)>) {
         for (from, to, message) in messages.drain(..) {
+            self.late_requests += usize::from(matches!(message, Message::Request(..)));
             let late = self.troubles.late_messages && self.rng.random_bool(0.05);
             let is_datagram = matches!(message, Message::Heartbeat(_));
             if is_datagram && late && self.rng.random_bool(0.5) {
--- a/crates/core/tests/convergence/store.rs
+++ b/crates/core/tests/convergence/store.rs
@@ -4,12 +4,24 @@
 
 use endivevale_core::{
     distribution::listing_delta::Change,
-    layout::{SearcherRecord, SearcherState},
-    name::{SearcherName, ServiceName, ZoneName},
+    layout::{InstanceRecord, SearcherRecord, SearcherState},
+    name::{InstanceName, SearcherName, ServiceName, ZoneName},
 };
 use rand::{RngExt, rngs::StdRng, seq::IteratorRandom};
 use tokio::time::Instant;
 
+fn instance_record(number: usize) -> InstanceRecord {
+    let addr = format!("127.0.0.1:{}", 20_000 + number).parse().unwrap();
+    InstanceRecord {
+        name: InstanceName::try_new(&format!("entry-{number}")).unwrap(),
+        zone: ZoneName::try_new("a").unwrap(),
+        sibling: addr,
+        caller: addr,
+        admin: addr,
+        relay: None,
+    }
+}
+
 /// How long a searcher that drains goes on serving.
 const DRAIN: Duration = Duration::from_millis(3500);
 
@@ -44,6 +56,11 @@
     pub log: Vec<(u64, Change)>,
     /// The last removal of each entry.
     pub removals: BTreeMap<SearcherName, Removal>,
+    /// Whether instances find its history gone at times, and do not read the list of
+    /// instances at each read.
+    pub compacts: bool,
+    /// The entries of the instances of the tier.
+    pub tier: Vec<InstanceRecord>,
     searchers: BTreeMap<SearcherName, Searcher>,
     away_until: Option<Instant>,
     /// When the last outage ended.
@@ -60,6 +77,8 @@
             entries: BTreeMap::new(),
             log: vec![],
             removals: BTreeMap::new(),
+            compacts: true,
+            tier: vec![],
             searchers: BTreeMap::new(),
             away_until: None,
             back_since: Instant::now(),
@@ -95,8 +114,12 @@
         }
     }
 
-    /// Lets searchers come, drain, crash and restart.
+    /// Lets searchers come, drain, crash and restart, and instances register.
     pub fn change_searchers(&mut self, rng: &mut StdRng) {
+        if self.is_up() && rng.random_bool(0.004) {
+            self.revision += 1;
+            self.tier.push(instance_record(self.tier.len()));
+        }
         if self.is_up() && rng.random_bool(0.02) && self.searchers.len() < 16 {
             self.add_searcher(rng);
         }
--- a/crates/core/tests/listing_tracker.rs
+++ b/crates/core/tests/listing_tracker.rs
@@ -133,6 +133,19 @@
     assert_eq!(sibling.instances(), [instance_record("e")]);
 }
 
+// Guards against calls to the store without end: an instance that had read the same
+// list of instances earlier than a sibling stayed behind it, fetched the listing
+// again and again, and read the store by itself.
+#[tokio::test(start_paused = true)]
+async fn same_instances_that_a_sibling_read_later_are_fetched_once() {
+    let (mut tracker, mut sibling) = (two_searcher_tracker(), two_searcher_tracker());
+    tracker.set_instances(vec![instance_record("e")], 11);
+    sibling.set_instances(vec![instance_record("e")], 12);
+    assert!(sibling.versions().has_newer_part_than(tracker.versions()));
+    apply_state_of(&mut tracker, &sibling);
+    assert!(!sibling.versions().has_newer_part_than(tracker.versions()));
+}
+
 // Searchers renew their entries twice a second, so an outage of 1.5 s is long
 // enough for entries to expire.
 #[tokio::test(start_paused = true)]
