--- a/review/tools-2/src/bin/replaced_machines.rs
+++ b/review/tools-2/src/bin/replaced_machines.rs
@@ -19,9 +19,7 @@
     searcher::{Searcher, SearcherSpec},
     store::{CONFIG_OBJECT, Store},
 };
-use endivevale_review_tools_2::{
-    Deployment, Machine, Record, Site, drive, has_trouble,
-};
+use endivevale_review_tools_2::{Deployment, Machine, Record, Site, drive, has_trouble};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// The zones of the site, with their machines.
--- a/review/tools-2/src/lib.rs
+++ b/review/tools-2/src/lib.rs
@@ -2,8 +2,9 @@
 //! started as the deploy file says, and the record of a run.
 
 use std::{
+    fs,
     future::Future,
-    fs, io,
+    io,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::Stdio,
@@ -18,6 +19,7 @@
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::TcpStream,
     process::{Child, Command},
+    signal::unix::{SignalKind, signal},
     time::{Instant, sleep, timeout},
 };
 
@@ -279,7 +281,14 @@
 {
     let Ok((root, case, dir)) = folders() else { return std::process::ExitCode::from(NOT_RUN) };
     let record = Record::new(case.join("record.txt"));
-    let (mut record, result) = run(record, root, dir.clone()).await;
+    let (mut record, result) = tokio::select! {
+        finished = run(record, root, dir.clone()) => finished,
+        // Dropping the run ends the processes that it has started.
+        () = end_requested() => {
+            remove_folder(&dir);
+            return std::process::ExitCode::from(NOT_RUN);
+        }
+    };
     let code = match result {
         Ok(0) => HELD,
         Ok(_) => BROKEN,
@@ -293,6 +302,21 @@
     std::process::ExitCode::from(code)
 }
 
+/// Waits for SIGTERM or SIGINT.
+async fn end_requested() {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    match (terminate, interrupt) {
+        (Ok(mut terminate), Ok(mut interrupt)) => {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        _ => std::future::pending().await,
+    }
+}
+
 /// Removes a temporary folder.
 pub fn remove_folder(dir: &Path) {
     // What is left there disturbs nobody.
