--- a/review/tools-2/src/lib.rs
+++ b/review/tools-2/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the drivers of the review's scripts share: instance processes that are
 //! started as the deploy file says, and the record of a run.
 
+pub mod paged_store;
+
 use std::{
     fs,
     future::Future,
