Show that a store restored from an older copy is not followed

What callers see: after the store comes back from a copy of some seconds ago, an acknowledged configuration is not in force, for good (404 on its routes, old services).

The convergence histories get a store that loses its last seconds, also several times, with cuts and restarts; both cases fail on this code and are listed. Logic is unchanged.

--- a/crates/core/tests/convergence/mod.rs
+++ b/crates/core/tests/convergence/mod.rs
@@ -50,6 +50,8 @@
     /// All instances but two are gone and removed from the list, and each of the two is cut off from the store
     /// when the other one's cut has ended.
     pub cuts_in_turn: bool,
+    /// The store comes back from a copy and has lost what was written since.
+    pub restores: bool,
 }
 
 /// The store and the instances.
@@ -140,6 +142,9 @@
         if self.troubles.outages && self.rng.random_bool(0.006) {
             self.store.begin_outage(&mut self.rng);
         }
+        if self.troubles.restores && self.rng.random_bool(0.008) {
+            self.store.begin_restore(&mut self.rng);
+        }
         let troubled = self.instances.iter().filter(|i| i.has_trouble()).count();
         if troubled >= MAX_TROUBLED {
             return;
--- a/crates/core/tests/convergence/store.rs
+++ b/crates/core/tests/convergence/store.rs
@@ -1,6 +1,9 @@
 //! The store and the searchers that register themselves in it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use endivevale_core::{
     distribution::listing_delta::Change,
@@ -28,6 +31,22 @@
 /// The time without renewals after which the store removes an entry.
 const EXPIRY: Duration = Duration::from_millis(3600);
 
+/// The time between two copies of the store.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of copies that are kept.
+const COPIES: usize = 9;
+
+/// What the store had at one time.
+#[derive(Clone)]
+struct Copy {
+    at: Instant,
+    revision: u64,
+    entries: BTreeMap<SearcherName, SearcherRecord>,
+    log: Vec<(u64, Change)>,
+    tier: Vec<InstanceRecord>,
+}
+
 /// A searcher, and what it does next.
 #[derive(Debug)]
 struct Searcher {
@@ -67,6 +86,10 @@
     pub back_since: Instant,
     /// Whether entries can expire in this outage.
     forgets: bool,
+    /// Whether the store comes back from a copy after this outage.
+    loses_writes: bool,
+    /// The latest copies, the oldest first.
+    copies: VecDeque<Copy>,
     next_number: u64,
 }
 
@@ -83,6 +106,8 @@
             away_until: None,
             back_since: Instant::now(),
             forgets: false,
+            loses_writes: false,
+            copies: VecDeque::new(),
             next_number: 0,
         };
         (0..count).for_each(|_| store.add_searcher(rng));
@@ -114,6 +139,62 @@
         }
     }
 
+    /// Begins a short outage after which the store comes back from a copy that is
+    /// some seconds old, and gives out its later revisions again.
+    pub fn begin_restore(&mut self, rng: &mut StdRng) {
+        if self.is_up() {
+            let duration = Duration::from_millis(rng.random_range(100..2500));
+            self.away_until = Some(Instant::now() + duration);
+            self.loses_writes = true;
+        }
+    }
+
+    fn keep_copy(&mut self) {
+        let now = Instant::now();
+        if self.copies.back().is_some_and(|last| now < last.at + COPY_INTERVAL) {
+            return;
+        }
+        self.copies.push_back(Copy {
+            at: now,
+            revision: self.revision,
+            entries: self.entries.clone(),
+            log: self.log.clone(),
+            tier: self.tier.clone(),
+        });
+        if self.copies.len() > COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Goes back to a copy. Searchers whose entries are lost write them again; the
+    /// entries of those that are gone expire.
+    fn restore(&mut self, rng: &mut StdRng) {
+        let now = Instant::now();
+        let kept = rng.random_range(0..self.copies.len());
+        self.copies.truncate(kept + 1);
+        let Some(copy) = self.copies.back().cloned() else { return };
+        let lost = self.entries.keys().filter(|name| !copy.entries.contains_key(*name));
+        for name in lost {
+            let incarnation = self.entries[name].incarnation;
+            let removal = Removal { incarnation, at: now, was_in_outage: true };
+            self.removals.insert(name.clone(), removal);
+        }
+        for (name, record) in &copy.entries {
+            let gone = Searcher {
+                record: record.clone(),
+                is_alive: false,
+                last_renewal: now,
+                registers_at: None,
+                ends_at: None,
+            };
+            self.searchers.entry(name.clone()).or_insert(gone).last_renewal = now;
+        }
+        self.revision = copy.revision;
+        self.entries = copy.entries;
+        self.log = copy.log;
+        self.tier = copy.tier;
+    }
+
     /// Lets searchers come, drain, crash and restart, and instances register.
     pub fn change_searchers(&mut self, rng: &mut StdRng) {
         if self.is_up() && rng.random_bool(0.004) {
@@ -207,6 +288,12 @@
         if self.away_until.is_some_and(|until| until <= now) {
             self.away_until = None;
             self.back_since = now;
+            if std::mem::take(&mut self.loses_writes) {
+                self.restore(rng);
+            }
+        }
+        if self.is_up() {
+            self.keep_copy();
         }
         if self.is_up() && rng.random_bool(0.1) {
             self.revision += 1;
@@ -230,10 +317,11 @@
             }
             return;
         }
+        let is_current = self.entries.get(name) == Some(&searcher.record);
         if is_up && searcher.is_alive && is_listed {
             searcher.last_renewal = now;
         }
-        if is_up && searcher.is_alive && !is_listed {
+        if is_up && searcher.is_alive && !is_current {
             let wait = Duration::from_millis(rng.random_range(100..1900));
             let at = *searcher.registers_at.get_or_insert(now + wait);
             if at <= now {
--- a/crates/core/tests/listing_convergence.rs
+++ b/crates/core/tests/listing_convergence.rs
@@ -34,7 +34,11 @@
     restarts => (Troubles { restarts: true, ..Troubles::default() }),
     late_messages => (Troubles { late_messages: true, ..Troubles::default() }),
     all => (Troubles {
-        outages: true, cuts: true, restarts: true, late_messages: true, cuts_in_turn: false
+        outages: true, cuts: true, restarts: true, late_messages: true, ..Troubles::default()
     }),
     cuts_in_turn => (Troubles { cuts_in_turn: true, ..Troubles::default() }),
+    restores => (Troubles { restores: true, ..Troubles::default() }),
+    restores_cuts_and_restarts => (Troubles {
+        restores: true, cuts: true, restarts: true, ..Troubles::default()
+    }),
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -288,6 +288,8 @@
     pub status: StatusCode,
     /// The version of the object, from the `ETag` header.
     version: Option<u64>,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -297,9 +299,10 @@
     /// not be read otherwise.
     async fn read(response: Response, max_bytes: usize) -> Result<Self, String> {
         let (status, version) = (response.status(), version_from_etag(response.headers()));
+        let headers = response.headers().clone();
         let body = Limited::new(Body::from(response), max_bytes).collect().await;
         let body = body.map_err(|e| format!("the body was not read to its end: {e}"))?;
-        Ok(Self { status, version, body: body.to_bytes() })
+        Ok(Self { status, version, headers, body: body.to_bytes() })
     }
 
     fn into_object(self) -> Result<Option<Object>, StoreError> {
