Report what a request has shown also when its caller leaves

A caller that left while its request was withheld dropped the future, and with it the evidence; the report is made on drop now. Suspicions go out with the next news instead of at once, since many searchers may crash together and each would have cost a datagram to every sibling.

--- a/crates/core/src/distribution/listing_tracker/mod.rs
+++ b/crates/core/src/distribution/listing_tracker/mod.rs
@@ -394,23 +394,20 @@
     /// changed.
     fn remove_or_lapse(&mut self, name: &SearcherName, now: Instant) -> bool {
         let Some(entry) = self.entries.get(name) else { return false };
-        let used = self.withheld.usable(entry).filter(|_| self.is_in_grace_period(now));
-        match used.map(|used| used.state) {
-            // The entry has already lapsed, so its absence from another
-            // complete list or a repeated removal changes nothing.
-            Some(SearcherState::Lapsed) if !self.withheld.contains(entry) => false,
-            Some(SearcherState::Live | SearcherState::Lapsed) => {
-                let lapsed =
-                    used.map(|r| SearcherRecord { state: SearcherState::Lapsed, ..r.clone() });
-                self.remove(name);
-                if let Some(lapsed) = lapsed {
-                    self.removed.forget(name);
-                    self.entries.insert(name.clone(), lapsed);
-                }
-                true
-            }
-            _ => self.remove(name),
+        let is_in_grace_period = self.is_in_grace_period(now);
+        if is_in_grace_period && entry.state == SearcherState::Lapsed {
+            // Its absence from another complete list or a repeated removal changes nothing.
+            return false;
         }
+        let used = self.withheld.usable(entry).filter(|_| is_in_grace_period);
+        let live = used.filter(|used| used.state == SearcherState::Live).cloned();
+        let is_changed = self.remove(name);
+        if let Some(live) = live {
+            self.removed.forget(name);
+            let lapsed = SearcherRecord { state: SearcherState::Lapsed, ..live };
+            self.entries.insert(name.clone(), lapsed);
+        }
+        is_changed
     }
 
     /// Removes an entry and remembers the searcher as removed. Returns whether
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -22,7 +22,7 @@
     id::RequestId,
     lifecycle::StopDeadline,
     name::{ServiceName, ZoneName},
-    quarantine::{Quarantine, RequestFingerprint, RequestSuspicion},
+    quarantine::{Quarantine, ReportOnDrop, RequestFingerprint, RequestSuspicion},
     route::{Route, Target},
     searcher::Searcher,
     stats::RankStats,
@@ -330,7 +330,8 @@
                 + route.latency_objective.saturating_sub(self.settings.answer_margin),
             deadline: self.stop_deadline.get().map_or(deadline, |stop| stop.min(deadline)),
         };
-        let result = match &route.target {
+        let _report_on_drop = ReportOnDrop(Arc::clone(&cx.suspicion));
+        match &route.target {
             Target::Service(service) => single::forward(&cx, find_service(view, service)).await,
             Target::Weighted(services) => {
                 single::forward(&cx, find_service(view, route.next_service(services))).await
@@ -339,9 +340,7 @@
                 let shards: Vec<_> = set.shards.iter().map(|s| find_service(view, s)).collect();
                 sharded::forward(&cx, &self.relay, set, &shards).await
             }
-        };
-        cx.suspicion.finish();
-        result
+        }
     }
 
     fn suspicion(
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -42,6 +42,7 @@
     suspicion::RequestSuspicion,
 };
 
+pub(crate) use self::suspicion::ReportOnDrop;
 use crate::name::SearcherName;
 
 /// The number of searchers that a request has crashed when it is refused.
--- a/crates/core/src/quarantine/suspicion.rs
+++ b/crates/core/src/quarantine/suspicion.rs
@@ -90,7 +90,9 @@
     }
 
     /// Creates the evidence of a request that goes to many shards at once. `address` is
-    /// its host and path, for logs. After the first crash, extra attempts wait for the reply of any shard.
+    /// its host and path, for logs; nearly all attempts of its route are answered within
+    /// `usual_time`. After the first crash, extra attempts wait for the reply of any
+    /// shard.
     #[must_use]
     pub fn of_sharded(
         quarantine: &Arc<Quarantine>,
@@ -238,9 +240,8 @@
         std::iter::from_fn(|| self.unreported.pop()).collect()
     }
 
-    /// Reports the crashes at the end of the attempt, if the evidence is complete and no
-    /// searcher has replied.
-    pub fn finish(&self) {
+    /// Reports the crashes if the evidence is complete and no searcher has replied.
+    fn finish(&self) {
         if !self.has_replied() && self.is_complete() {
             self.report();
         }
@@ -260,3 +261,13 @@
         self.quarantine.report(CrashReport::Crashed { fingerprint, label, searchers });
     }
 }
+
+/// Reports what an attempt of a caller has shown when it ends, also if the caller leaves.
+#[derive(Debug)]
+pub(crate) struct ReportOnDrop(pub(crate) Arc<RequestSuspicion>);
+
+impl Drop for ReportOnDrop {
+    fn drop(&mut self) {
+        self.0.finish();
+    }
+}
--- a/crates/endivevale/src/forwarding/control/crashes.rs
+++ b/crates/endivevale/src/forwarding/control/crashes.rs
@@ -16,8 +16,9 @@
 const CRASH_NEWS_SENDS: u32 = 3;
 
 impl<R: ServiceRegistry> ControlTask<R> {
-    /// Applies what a request has shown, and tells the siblings at once if that has
-    /// changed what is known.
+    /// Applies what a request has shown, and tells the siblings if that has changed what
+    /// is known: at once what is refused or let in again, and suspicions together with the
+    /// next news, since many searchers may crash at once.
     pub(super) async fn apply_crash_report(&mut self, report: CrashReport) {
         let now = Instant::now();
         let (fingerprint, change) = match report {
@@ -34,7 +35,9 @@
         self.log_crash_change(fingerprint, change, "this instance");
         self.quarantine.publish(&self.crashes);
         self.crash_news = CRASH_NEWS_SENDS;
-        self.send_crash_news().await;
+        if change != TableChange::Suspected {
+            self.send_crash_news().await;
+        }
     }
 
     /// Takes over what a sibling knows.
