--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -47,6 +47,9 @@
     /// Returns ten shards with a searcher in each of three zones, and a route to them.
     fn sharded() -> Self {
         let mut sim = Sim::new();
+        // The budget of extra attempts bounds nothing here.
+        sim.extra_attempt_share = 1.0;
+        sim.extra_attempt_allowance = 1000.0;
         sim.add_shards(SHARDS, &["a", "b", "c"], 20 * MS);
         let names: Vec<String> = (0..SHARDS).map(|n| format!("s{n}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
@@ -121,6 +124,27 @@
     assert_eq!(deployment.sim.transport.received_total(), received);
 }
 
+// Guards against a request that crashes two searchers of each shard: its hedges went out
+// right before its first crash, although no shard had replied.
+#[tokio::test(start_paused = true)]
+async fn hedges_wait_a_little_while_no_shard_has_replied() {
+    let mut deployment = Deployment::sharded();
+    let hedge_delay = 60 * MS;
+    let just_after = hedge_delay + 5 * MS;
+    for searcher in deployment.sim.transport.searchers.lock().unwrap().values() {
+        *searcher.service_time.lock().unwrap() = just_after;
+    }
+    // The hedge delay follows from the replies so far.
+    for _ in 0..50 {
+        assert!(deployment.forward(request("query")).await.is_ok());
+    }
+    let before = deployment.sim.transport.received_total();
+    deployment.set_all(Behaviour::Crashes);
+    assert!(deployment.forward(request("query")).await.is_err());
+    let received = deployment.sim.transport.received_total() - before;
+    assert!(received as usize <= SHARDS, "{received} searchers got the request");
+}
+
 #[tokio::test(start_paused = true)]
 async fn request_to_one_searcher_is_refused_after_the_third() {
     let mut deployment = Deployment::single();
