Keep the platform's names out of the test of replies without a status

The searcher with a status line of the test's own moves to the stand-ins, and the store there takes the name of its header from the adapter.

--- a/crates/endivevale/tests/no_status.rs
+++ b/crates/endivevale/tests/no_status.rs
@@ -2,24 +2,18 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::{
-    path::Path,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{path::Path, time::Duration};
 
 use endivevale_cases::cases;
 use endivevale_platform_standin::{
     caller::{Caller, CallerResponse},
     config::{ConfigBuilder, RouteDeclaration},
-    store::{CONFIG_OBJECT, SEARCHER_KIND, Store},
+    raw_searcher::{RECORD, RawSearcher},
+    store::{CONFIG_OBJECT, Store},
     tier::start_instances,
 };
 use endivevale_standin::{load, process::InstanceProcess};
-use serde_json::json;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
     runtime::Runtime,
     time::{Instant, sleep},
 };
@@ -36,54 +30,10 @@
 /// The time within which the instances know each other and the searchers.
 const KNOWN_WITHIN: Duration = Duration::from_secs(15);
 
-/// One record, which no caller may get from a reply without a status.
-const RECORD: &str = "0123456789abcdef";
-
-/// Answers each request on a connection with this status line.
-async fn serve(mut stream: TcpStream, status_line: Arc<Mutex<String>>) {
-    let mut head = Vec::new();
-    while stream.read_buf(&mut head).await.is_ok_and(|read| read > 0) {
-        let text = String::from_utf8_lossy(&head).into_owned();
-        if !text.contains("\r\n\r\n") {
-            continue;
-        }
-        head.clear();
-        let id = text.lines().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap_or("");
-        let status_line = status_line.lock().unwrap().clone();
-        let reply = format!(
-            "{status_line}\r\nX-Request-Id: {id}\r\nX-Server-Stamp: st.{id}\r\n\
-             Content-Length: {}\r\n\r\n{RECORD}",
-            RECORD.len()
-        );
-        if stream.write_all(reply.as_bytes()).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Starts a searcher of each service in zone `b`, and registers it.
-async fn start_searchers(store: &Store, status_line: &Arc<Mutex<String>>) {
-    for service in SERVICES {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let entry = json!({
-            "service": service, "address": listener.local_addr().unwrap(), "zone": "b",
-            "version": "v1", "max-concurrency": 8, "state": "ready", "warmup-left-ms": 0,
-            "sequence": 1, "born": 1_700_000_000_000_u64,
-        });
-        store.write(SEARCHER_KIND, &format!("{service}-1"), entry);
-        let status_line = Arc::clone(status_line);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&status_line)));
-            }
-        });
-    }
-}
-
 struct Deployment {
     _store: Store,
     instances: Vec<InstanceProcess>,
-    status_line: Arc<Mutex<String>>,
+    searchers: Vec<RawSearcher>,
     caller: Caller,
 }
 
@@ -92,8 +42,10 @@
     /// shards through the second.
     async fn start() -> Self {
         let store = Store::start().await.unwrap();
-        let status_line = Arc::new(Mutex::new("HTTP/1.1 200 OK".to_owned()));
-        start_searchers(&store, &status_line).await;
+        let mut searchers = Vec::new();
+        for service in SERVICES {
+            searchers.push(RawSearcher::start(&store, service, "b").await.unwrap());
+        }
         let config = ConfigBuilder::new(1)
             .services(&SERVICES)
             .route(RouteDeclaration::fan_out("search", &SERVICES[..2], 1.0))
@@ -103,7 +55,7 @@
         let binary = Path::new(INSTANCE_BIN);
         let instances = start_instances(binary, &store, &["a", "b"], 2).await.unwrap();
         let caller = Caller::new(Duration::from_secs(2));
-        let deployment = Self { _store: store, instances, status_line, caller };
+        let deployment = Self { _store: store, instances, searchers, caller };
         deployment.wait_until_answering().await;
         deployment
     }
@@ -145,7 +97,7 @@
 /// Checks what callers get on each kind of route, over a relay and directly.
 async fn check_replies(status_line: &str, expected: u16) {
     let deployment = Deployment::start().await;
-    *deployment.status_line.lock().unwrap() = status_line.to_owned();
+    deployment.searchers.iter().for_each(|searcher| searcher.set_status_line(status_line));
     let relayed_before = relayed_count(&deployment).await;
     for instance in 0..2 {
         for path in PATHS {
